--- /dev/null
+++ b/packages/bench/src/startFleet.ts
@@ -0,0 +1,111 @@
+/** `npm start`: a small fleet with embedded stand-ins, to try by hand or for one measured load. */
+import process from 'node:process';
+import { createLogger, describeError, systemClock } from '@cactusrun/core';
+import Table from 'cli-table3';
+import { Cli, Command, Option } from 'clipanion';
+import Caller from './Caller.js';
+import type { Deployment, DeploymentName } from './Deployment.js';
+import { DEPLOYMENTS } from './Deployment.js';
+import Fleet, { operatorAddress } from './Fleet.js';
+import publishContracts from './publishContracts.js';
+import type { LoadSummary } from './sendMixedLoad.js';
+import { sendMixedLoad } from './sendMixedLoad.js';
+
+const DAEMONS = 4;
+const JOIN_MILLISECONDS = 1_500;
+const LOAD = { lookups: 300, orders: 100, uploads: 6, uploadBytes: 300_000, concurrency: 8 };
+const EXIT = { ok: 0, failed: 1 } as const;
+
+class StartCommand extends Command {
+  public static override paths = [Command.Default];
+
+  public static override usage = Command.Usage({
+    description: 'Starts four daemons in two regions with stand-ins, and runs until interrupted.',
+    details: 'Exit status of --once: 0 when nothing was lost, mixed up or run twice, else 1.',
+  });
+
+  public once = Option.Boolean('--once', false, {
+    description: 'Send a mixed load, print a summary and exit.',
+  });
+
+  public deployment = Option.String('--deployment', 'kreupelhout', {
+    description: 'kreupelhout or tuul.',
+  });
+
+  public seed = Option.String('--seed', '1', { description: 'Seed of every random choice.' });
+
+  public override async execute(): Promise<number> {
+    const { stdout, stderr } = this.context;
+    const deployment = DEPLOYMENTS[this.deployment as DeploymentName];
+    if (deployment === undefined) {
+      stderr.write(`--deployment: ${Object.keys(DEPLOYMENTS).join(' or ')}\n`);
+      return EXIT.failed;
+    }
+    const logger = createLogger('fleet');
+    const fleet = new Fleet({
+      deployment,
+      daemons: DAEMONS,
+      seed: Number(this.seed),
+      hasLink: true,
+      ...(this.once ? {} : { logger }),
+    });
+    try {
+      await fleet.start();
+      await systemClock.sleep(JOIN_MILLISECONDS);
+      const milliseconds = await publishContracts(fleet, deployment.name, systemClock);
+      stdout.write(`contracts in force on ${DAEMONS} hosts after ${milliseconds.toFixed(0)} ms\n`);
+      return this.once
+        ? await this.sendOnce(fleet, deployment)
+        : await this.runOn(fleet, deployment);
+    } catch (error) {
+      stderr.write(`${describeError(error)}\n`);
+      return EXIT.failed;
+    } finally {
+      await fleet.stop();
+    }
+  }
+
+  private async sendOnce(fleet: Fleet, deployment: Deployment): Promise<number> {
+    const near = fleet.daemons.filter(({ host }) => host.region === deployment.callerRegion);
+    const addresses = near.map(({ host }) => host.callerAddress);
+    const caller = new Caller(addresses, near[0]?.host.zone ?? '', systemClock);
+    const summary = await sendMixedLoad(fleet, caller, deployment, LOAD);
+    await caller.close();
+    this.printSummary(summary);
+    const isWhole =
+      summary.answered === summary.requests && summary.wrongAnswers === 0 && summary.ranTwice === 0;
+    return isWhole ? EXIT.ok : EXIT.failed;
+  }
+
+  private printSummary(summary: LoadSummary): void {
+    const table = new Table({ head: ['figure', 'value'], style: { head: [], border: [] } });
+    const { addedMilliseconds, ...counts } = summary;
+    Object.entries(counts).forEach(([name, value]) => table.push([name, value]));
+    table.push(['added p50 (ms, link included)', addedMilliseconds.p50]);
+    table.push(['added p99 (ms, link included)', addedMilliseconds.p99]);
+    this.context.stdout.write(`${table.toString()}\n${JSON.stringify(summary)}\n`);
+  }
+
+  private async runOn(fleet: Fleet, deployment: Deployment): Promise<number> {
+    const { stdout } = this.context;
+    const table = new Table({
+      head: ['host', 'zone', 'callers', 'operators'],
+      style: { head: [], border: [] },
+    });
+    fleet.daemons.forEach(({ host }, index) => {
+      table.push([host.name, host.zone, host.callerAddress, operatorAddress(index)]);
+    });
+    const far = fleet.daemons.find(({ host }) => host.region === deployment.callerRegion);
+    stdout.write(`${table.toString()}\n`);
+    stdout.write(`try: curl -i http://${far?.host.callerAddress}${deployment.lookup.path}\n`);
+    stdout.write(`try: npx cactusrun --host ${operatorAddress(0)} 'SHOW HOSTS'\n`);
+    await new Promise<void>((resolve) => {
+      ['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => resolve()));
+    });
+    return EXIT.ok;
+  }
+}
+
+const cli = new Cli({ binaryName: 'npm start --', binaryVersion: '0.1.0' });
+cli.register(StartCommand);
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- /dev/null
+++ b/packages/command-line/src/cactusrun.ts
@@ -0,0 +1,10 @@
+/** The operators' tool. */
+import process from 'node:process';
+import { Builtins, Cli } from 'clipanion';
+import RunScriptCommand from './RunScriptCommand.js';
+
+const cli = new Cli({ binaryName: 'cactusrun', binaryLabel: 'cactusrun', binaryVersion: '0.1.0' });
+cli.register(RunScriptCommand);
+cli.register(Builtins.HelpCommand);
+cli.register(Builtins.VersionCommand);
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- /dev/null
+++ b/packages/configuration/src/Snapshot.ts
@@ -0,0 +1,134 @@
+/** The whole configuration as records of the log: compressed, in parts of bounded size. */
+import { createHash } from 'node:crypto';
+import { gunzipSync, gzipSync } from 'node:zlib';
+import type { ConfigurationState } from './ConfigurationState.js';
+import type { LogEntry, SnapshotPartRecord } from './LogRecord.js';
+import { decodeRecord } from './LogRecord.js';
+
+const FORMAT_VERSION = 1;
+const PART_CHARACTERS = 256 * 1024;
+const MAXIMUM_SNAPSHOT_BYTES = 256 * 1024 * 1024;
+
+type MapField = 'contracts' | 'claims' | 'holds' | 'remembered' | 'touched';
+const MAP_FIELDS: readonly MapField[] = ['contracts', 'claims', 'holds', 'remembered', 'touched'];
+
+/** Packs a state into bytes that `unpackState` reads. */
+export function packState(state: ConfigurationState): Buffer {
+  const maps = Object.fromEntries(MAP_FIELDS.map((field) => [field, [...state[field]]]));
+  const { offset, revision, forgottenOffset, gaps } = state;
+  const plain = { offset, revision, forgottenOffset, gaps, drained: [...state.drained], ...maps };
+  return gzipSync(JSON.stringify({ version: FORMAT_VERSION, ...plain }));
+}
+
+/** Unpacks a state; undefined for bytes of another version or with damage. */
+export function unpackState(bytes: Uint8Array): ConfigurationState | undefined {
+  try {
+    const text = gunzipSync(bytes, { maxOutputLength: MAXIMUM_SNAPSHOT_BYTES }).toString();
+    const plain = JSON.parse(text);
+    if (plain.version !== FORMAT_VERSION || !Number.isInteger(plain.offset)) return undefined;
+    const maps = Object.fromEntries(MAP_FIELDS.map((field) => [field, new Map(plain[field])]));
+    const { offset, revision, forgottenOffset, gaps } = plain;
+    const drained = new Set(plain.drained);
+    return Object.freeze({
+      offset,
+      revision,
+      forgottenOffset,
+      gaps,
+      drained,
+      ...maps,
+    } as unknown as ConfigurationState);
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * The records that hold a snapshot of the state.
+ *
+ * @param isRebase - the log lost records that nobody read, and the fold starts anew from here
+ */
+export function createSnapshotRecords(
+  state: ConfigurationState,
+  isRebase = false,
+): SnapshotPartRecord[] {
+  const data = packState(state).toString('base64');
+  const snapshot = createHash('sha256').update(data).digest('hex');
+  const count = Math.max(1, Math.ceil(data.length / PART_CHARACTERS));
+  return Array.from({ length: count }, (_, index) => ({
+    kind: 'snapshot-part',
+    snapshot,
+    coveredOffset: state.offset,
+    index,
+    count,
+    data: data.slice(index * PART_CHARACTERS, (index + 1) * PART_CHARACTERS),
+    isRebase,
+  }));
+}
+
+function joinParts(parts: readonly SnapshotPartRecord[]): ConfigurationState | undefined {
+  const first = parts[0];
+  if (first === undefined) return undefined;
+  const byIndex = new Map(parts.map((part) => [part.index, part.data]));
+  if (byIndex.size !== first.count) return undefined;
+  const data = Array.from({ length: first.count }, (_, index) => byIndex.get(index) ?? '').join('');
+  const isWhole = createHash('sha256').update(data).digest('hex') === first.snapshot;
+  return isWhole ? unpackState(Buffer.from(data, 'base64')) : undefined;
+}
+
+interface FoundSnapshot {
+  readonly state: ConfigurationState;
+  readonly isRebase: boolean;
+  /** Offset of the record that completed it. */
+  readonly completedAt: number;
+}
+
+interface PlacedPart {
+  readonly part: SnapshotPartRecord;
+  readonly offset: number;
+}
+
+function findWhole(entries: readonly LogEntry[]): readonly FoundSnapshot[] {
+  const groups = new Map<string, PlacedPart[]>();
+  entries.forEach((entry) => {
+    const part = decodeRecord(entry.data);
+    if (part?.kind !== 'snapshot-part') return;
+    const key = `${part.snapshot} ${part.isRebase}`;
+    const group = groups.get(key) ?? [];
+    group.push({ part, offset: entry.offset });
+    groups.set(key, group);
+  });
+  return [...groups.values()].flatMap((group) => {
+    const state = joinParts(group.map(({ part }) => part));
+    const last = group.at(-1);
+    if (state === undefined || last === undefined) return [];
+    return [{ state, isRebase: last.part.isRebase, completedAt: last.offset }];
+  });
+}
+
+/**
+ * The newest whole snapshot among the entries from which the fold can go on: every record after
+ * the offset it covers is still in the log. Failing that, the newest one that was written to start
+ * the fold anew.
+ *
+ * @param firstOffset - the oldest offset that the log still holds
+ */
+export function findSnapshot(
+  entries: readonly LogEntry[],
+  firstOffset: number,
+): ConfigurationState | undefined {
+  const found = findWhole(entries);
+  const contiguous = found.filter(({ state }) => state.offset + 1 >= firstOffset);
+  const newest = contiguous.reduce<ConfigurationState | undefined>(
+    (best, { state }) => (best === undefined || state.offset > best.offset ? state : best),
+    undefined,
+  );
+  if (newest !== undefined) return newest;
+  const rebase = found
+    .filter(({ isRebase }) => isRebase)
+    .reduce<FoundSnapshot | undefined>(
+      (best, next) =>
+        best === undefined || next.state.revision > best.state.revision ? next : best,
+      undefined,
+    );
+  return rebase && Object.freeze({ ...rebase.state, offset: rebase.completedAt });
+}
--- /dev/null
+++ b/packages/configuration/src/foldChange.ts
@@ -0,0 +1,102 @@
+/** Judges a change by the log's order alone: accepted whole, or refused with a reason. */
+import type { Change, ChangeVerdict } from './Change.js';
+import type { ConfigurationState, RememberedChange } from './ConfigurationState.js';
+import { filterMap, withEntry } from './ConfigurationState.js';
+import type { OperationResult } from './applyOperation.js';
+import { applyOperation, serviceOf } from './applyOperation.js';
+import { reviseClaims } from './foldEjection.js';
+
+/** Changes remembered by identity. */
+const REMEMBERED_CHANGES = 1000;
+
+type Judgement = {
+  readonly state: ConfigurationState;
+  readonly verdict: ChangeVerdict;
+};
+
+function refused(
+  state: ConfigurationState,
+  reason: Extract<ChangeVerdict, { kind: 'refused' }>['reason'],
+  detail: string,
+): Judgement {
+  return { state, verdict: { kind: 'refused', reason, detail } };
+}
+
+function findConflict(state: ConfigurationState, change: Change): string | undefined {
+  const touched = change.operations
+    .map((operation) => state.touched.get(serviceOf(operation)))
+    .find((entry) => entry !== undefined && entry.revision > change.baseRevision);
+  if (touched === undefined) return undefined;
+  const other = state.remembered.get(touched.identity);
+  const what = other === undefined ? '' : ` by ${other.author}: ${other.summary}`;
+  return `change ${touched.identity}${what} came first, at revision ${touched.revision}`;
+}
+
+/** One line that tells what a change does. */
+export function summarizeChange(change: Change): string {
+  return change.operations
+    .map((operation) => {
+      const target = 'target' in operation ? `/${operation.target}` : '';
+      return `${operation.kind} ${serviceOf(operation)}${target}`;
+    })
+    .join(', ');
+}
+
+/** Judges a change against a state without remembering it: what a dry run shows. */
+export function judgeChange(state: ConfigurationState, change: Change, offset: number): Judgement {
+  if (change.baseRevision < state.forgottenOffset) {
+    return refused(state, 'base-too-old', 'made against a revision that is no longer remembered');
+  }
+  const conflict = findConflict(state, change);
+  if (conflict !== undefined) return refused(state, 'conflict', conflict);
+  const result = change.operations.reduce<OperationResult>(
+    (before, operation) => ('reason' in before ? before : applyOperation(before.state, operation)),
+    { state },
+  );
+  if ('reason' in result) return refused(state, result.reason, result.detail);
+  return { state: result.state, verdict: { kind: 'accepted', revision: offset } };
+}
+
+function remember(state: ConfigurationState, entry: RememberedChange): ConfigurationState {
+  const remembered = new Map(state.remembered).set(entry.identity, entry);
+  if (remembered.size <= REMEMBERED_CHANGES) return { ...state, remembered };
+  const oldest = remembered.values().next().value as RememberedChange;
+  remembered.delete(oldest.identity);
+  return { ...state, remembered, forgottenOffset: oldest.offset };
+}
+
+function dropOrphans(state: ConfigurationState): ConfigurationState {
+  const targets = new Set(
+    [...state.contracts.values()].flatMap((contract) =>
+      contract.targets.map((target) => `${contract.service}/${target.name}`),
+    ),
+  );
+  const drained = new Set([...state.drained].filter((key) => targets.has(key)));
+  return { ...state, drained, claims: filterMap(state.claims, (_, key) => targets.has(key)) };
+}
+
+/** Folds a change record in. */
+export function foldChange(
+  state: ConfigurationState,
+  change: Change,
+  offset: number,
+): ConfigurationState {
+  if (state.remembered.has(change.identity)) return state;
+  const judgement = judgeChange(state, change, offset);
+  const entry: RememberedChange = {
+    identity: change.identity,
+    author: change.author,
+    offset,
+    verdict: judgement.verdict,
+    summary: summarizeChange(change),
+  };
+  if (judgement.verdict.kind === 'refused') return remember(state, entry);
+  const touched = change.operations
+    .map(serviceOf)
+    .reduce(
+      (map, service) => withEntry(map, service, { revision: offset, identity: change.identity }),
+      judgement.state.touched,
+    );
+  const next = dropOrphans({ ...judgement.state, touched, revision: offset });
+  return remember(reviseClaims(next), entry);
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,36 @@
+export { CactusrunError, describeError } from './CactusrunError.js';
+export { systemClock } from './Clock.js';
+export { default as Counters } from './Counters.js';
+export { default as EventChannel } from './EventChannel.js';
+export { invariant, InvariantError } from './invariant.js';
+export { default as ManualClock } from './ManualClock.js';
+export { createLogger, silentLogger } from './Logger.js';
+export { isOutcomeReason, OUTCOME_RULES } from './Outcome.js';
+export { createRandom, pickOne, shuffle } from './Random.js';
+export { inSequence, mergeStops, repeatUntilAborted, startTask } from './Task.js';
+export { default as Timing } from './Timing.js';
+export { floorOf } from './World.js';
+export type { Clock } from './Clock.js';
+export type { CounterReading } from './Counters.js';
+export type { ErrorPlace } from './CactusrunError.js';
+export type { LogFields, Logger } from './Logger.js';
+export type { OutcomeKind, OutcomeReason, OutcomeRule, RetryAdvice } from './Outcome.js';
+export type { Random } from './Random.js';
+export type { Stop } from './Task.js';
+export type { TimingSummary } from './Timing.js';
+export type {
+  Contract,
+  EjectionCaution,
+  Host,
+  Priority,
+  RequestClass,
+  Route,
+  Target,
+} from './World.js';
+export type {
+  ConnectionAge,
+  Observation,
+  ObservedResult,
+  Standing,
+  TargetHealth,
+} from './TargetHealth.js';
--- /dev/null
+++ b/packages/daemon/src/CallerDirectory.ts
@@ -0,0 +1,92 @@
+/** Tells callers which addresses to use for a service, and gives them a ticket for this daemon. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ConfigurationStore } from '@cactusrun/configuration';
+import type { Counters, Host, Random } from '@cactusrun/core';
+import { shuffle } from '@cactusrun/core';
+import type { Member, Membership } from '@cactusrun/membership';
+
+export const DIRECTORY_PATH = '/.well-known/cactusrun/directory';
+/** How long a caller may keep an answer; a leaving host goes on serving for this long. */
+export const DIRECTORY_SECONDS = 5;
+const MAXIMUM_ADDRESSES = 8;
+const LOAD_STEP_PERCENT = 25;
+
+export interface CallerDirectoryOptions {
+  readonly self: Host;
+  readonly store: ConfigurationStore;
+  readonly membership: Membership;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly issueTicket: () => string;
+}
+
+/** One address of the answer. */
+export interface DirectoryAddress {
+  readonly address: string;
+  readonly zone: string;
+  readonly region: string;
+}
+
+export interface DirectoryAnswer {
+  readonly service: string;
+  /** Best first. */
+  readonly addresses: readonly DirectoryAddress[];
+  readonly timeToLiveSeconds: number;
+  readonly revision: number;
+  /** For one non-idempotent request, to be sent to `ticketAddress`. */
+  readonly ticket: string;
+  readonly ticketAddress: string;
+}
+
+export default class CallerDirectory {
+  constructor(private readonly options: CallerDirectoryOptions) {}
+
+  /** The answer for a caller of that zone. */
+  public answer(service: string, zone: string | undefined): DirectoryAnswer {
+    const { self, store, membership, random, issueTicket } = this.options;
+    const region = membership.members().find(({ host }) => host.zone === zone)?.host.region;
+    const ranked = shuffle(random, membership.serving())
+      .map((member) => ({ member, rank: rankOf(member, zone ?? self.zone, region ?? self.region) }))
+      .sort((left, right) => left.rank - right.rank)
+      .map(({ member }) => member.host);
+    return {
+      service,
+      addresses: ranked.slice(0, MAXIMUM_ADDRESSES).map((host) => ({
+        address: host.callerAddress,
+        zone: host.zone,
+        region: host.region,
+      })),
+      timeToLiveSeconds: DIRECTORY_SECONDS,
+      revision: store.current.revision,
+      ticket: issueTicket(),
+      ticketAddress: self.callerAddress,
+    };
+  }
+
+  /** Serves `GET /.well-known/cactusrun/directory?service=…&zone=…`. */
+  public serve(request: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(request.url ?? '/', 'http://directory');
+    const service = url.searchParams.get('service') ?? '';
+    const isKnown = this.options.store.current.contracts.has(service);
+    this.options.counters.add('directory', isKnown ? 'answered' : 'unknown-service');
+    const body = isKnown
+      ? this.answer(service, url.searchParams.get('zone') ?? undefined)
+      : { error: 'no such service in force' };
+    const text = `${JSON.stringify(body)}\n`;
+    response.writeHead(isKnown ? 200 : 404, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      ...(isKnown ? { 'cache-control': `max-age=${DIRECTORY_SECONDS}` } : {}),
+    });
+    response.end(text);
+  }
+}
+
+/** Near before far; of those as near, the less busy ones. */
+function rankOf(member: Member, zone: string, region: string): number {
+  const { host, loadPercent, state } = member;
+  const elsewhere = host.region === region ? 1 : 2;
+  const distance = host.zone === zone ? 0 : elsewhere;
+  const load = Math.floor(loadPercent / LOAD_STEP_PERCENT) / 10;
+  return distance + load + (state === 'suspect' ? 5 : 0);
+}
--- /dev/null
+++ b/packages/daemon/src/HostWatcher.ts
@@ -0,0 +1,55 @@
+/** Follows the platform's host list: daemons to join, and upstream hosts that are leaving. */
+import type { Clock, Counters, Random, Stop } from '@cactusrun/core';
+import { repeatUntilAborted, startTask } from '@cactusrun/core';
+import type { HostList, ListedHost } from '@cactusrun/platform';
+
+const PERIOD_MILLISECONDS = 2_000;
+
+export interface HostWatcherOptions {
+  readonly hostList: HostList;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+}
+
+export default class HostWatcher {
+  /** What the list last said; it is kept while the platform is away. */
+  private hosts: readonly ListedHost[] = [];
+
+  constructor(private readonly options: HostWatcherOptions) {}
+
+  /** Follows the list until the returned function is called. */
+  public start(): Stop {
+    const { clock, random, counters } = this.options;
+    return startTask(
+      (signal) =>
+        repeatUntilAborted(signal, async () => {
+          await this.readOnce();
+          await clock.sleep(PERIOD_MILLISECONDS * (0.75 + random.unit() / 2), signal);
+        }),
+      () => counters.add('host_list', 'task-failed'),
+    );
+  }
+
+  /** Heartbeat addresses of the entry hosts on the list. */
+  public entryAddresses(): readonly string[] {
+    return this.hosts.filter(({ kind }) => kind === 'entry').map(({ address }) => address);
+  }
+
+  /** Whether the list says that the upstream host at that address is leaving. */
+  public isLeaving(address: string): boolean {
+    return this.hosts.some(
+      (host) => host.kind === 'upstream' && host.state === 'leaving' && host.address === address,
+    );
+  }
+
+  private async readOnce(): Promise<void> {
+    const { hostList, counters } = this.options;
+    try {
+      this.hosts = await hostList.list();
+      counters.add('host_list', 'read');
+    } catch {
+      counters.add('host_list', 'failed');
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/HttpTargetConnector.ts
@@ -0,0 +1,82 @@
+/**
+ * The targets over HTTP. Node's own client is used here because it tells when a connection is new
+ * and when it is ready: a failure before that is proved not to have run. It never sends anything a
+ * second time by itself.
+ */
+import type { ClientRequest } from 'node:http';
+import { Agent, request as httpRequest } from 'node:http';
+import type { Clock, ConnectionAge, Target } from '@cactusrun/core';
+import type { Attempt, TargetConnector, TargetResult } from '@cactusrun/requests';
+import { joinHeaders } from './headers.js';
+import TargetExchange from './TargetExchange.js';
+
+/** An idle connection is closed before the other end is likely to. */
+const IDLE_MILLISECONDS = 3_000;
+const ZONE_HEADER = 'cactusrun-caller-zone';
+const DEADLINE_HEADER = 'cactusrun-deadline-milliseconds';
+
+export default class HttpTargetConnector implements TargetConnector {
+  private readonly agents = new Map<string, Agent>();
+
+  /** @param connectionsOf - connections allowed to a target of the service */
+  constructor(
+    private readonly clock: Clock,
+    private readonly connectionsOf: (service: string) => number,
+  ) {}
+
+  public send(
+    target: Target,
+    attempt: Attempt,
+    signal: AbortSignal,
+    onSent: (connection: ConnectionAge) => void,
+  ): Promise<TargetResult> {
+    return new Promise((resolve) => {
+      if (signal.aborted) {
+        resolve({ kind: 'connect-failed', detail: 'cancelled before it was sent' });
+        return;
+      }
+      const request = this.open(target, attempt);
+      const exchange = new TargetExchange(request, this.clock, resolve, onSent);
+      exchange.run(attempt, signal);
+    });
+  }
+
+  /** Closes every connection. */
+  public close(): void {
+    this.agents.forEach((agent) => agent.destroy());
+    this.agents.clear();
+  }
+
+  private open(target: Target, attempt: Attempt): ClientRequest {
+    const [host, port] = target.address.split(':');
+    const remaining = Math.max(1, Math.round(attempt.deadline - this.clock.now()));
+    const headers = joinHeaders([
+      ...attempt.headers,
+      [ZONE_HEADER, attempt.callerZone],
+      [DEADLINE_HEADER, String(remaining)],
+      ...(attempt.body.isWhole
+        ? [['content-length', String(attempt.body.head.length)] as const]
+        : []),
+    ]);
+    return httpRequest({
+      host,
+      port,
+      method: attempt.method,
+      path: attempt.path,
+      headers,
+      agent: this.agentOf(target, attempt.service),
+    });
+  }
+
+  private agentOf(target: Target, service: string): Agent {
+    const key = `${service} ${target.address}`;
+    const known = this.agents.get(key);
+    const maxSockets = this.connectionsOf(service);
+    const agent =
+      known ??
+      new Agent({ keepAlive: true, maxSockets, scheduling: 'lifo', timeout: IDLE_MILLISECONDS });
+    agent.maxSockets = maxSockets;
+    this.agents.set(key, agent);
+    return agent;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/RequestForwarder.ts
@@ -0,0 +1,79 @@
+/** Passes a request on to the daemon that its ticket names, and serves those passed on to here. */
+import type { Clock, Counters } from '@cactusrun/core';
+import type { Membership } from '@cactusrun/membership';
+import type { AnswerStream } from '@cactusrun/protocol';
+import type { TicketFacts } from '@cactusrun/requests';
+import type { CallerAnswer, CallerRequest } from './CallerRequest.js';
+import { refused } from './CallerRequest.js';
+import { forwardFrame, fromFields } from './frames.js';
+import type PeerClients from './PeerClients.js';
+import { exchangeFrames, remainingUntil } from './sendFrames.js';
+import { serveFrames } from './serveFrames.js';
+
+const CONNECT_MILLISECONDS = 1_000;
+const GRACE_MILLISECONDS = 500;
+
+export interface RequestForwarderOptions {
+  readonly membership: Membership;
+  readonly clients: PeerClients;
+  readonly clock: Clock;
+  readonly counters: Counters;
+}
+
+export default class RequestForwarder {
+  constructor(private readonly options: RequestForwarderOptions) {}
+
+  /** Passes the request on; one that cannot be delivered stays in doubt, for it may have run. */
+  public async forward(
+    facts: TicketFacts,
+    request: CallerRequest,
+    deadline: number,
+  ): Promise<CallerAnswer> {
+    const { membership, clients, clock } = this.options;
+    const owner = membership.findIncarnation(facts.incarnation);
+    if (owner === undefined) {
+      const successor = membership.members().find(({ host }) => host.name === facts.host);
+      const isReplaced =
+        successor !== undefined && successor.host.incarnation !== facts.incarnation;
+      return refused(isReplaced ? 'owner-gone' : 'owner-unreachable', facts.host);
+    }
+    const client = clients.to(owner.host);
+    const lane = request.body.isWhole ? 'short' : 'bulk';
+    const remaining = remainingUntil(clock, deadline);
+    if (!(await client.isReady(lane, Math.min(remaining, CONNECT_MILLISECONDS)))) {
+      return refused('owner-unreachable', facts.host);
+    }
+    return exchangeFrames({
+      stream: client.forward(lane, remaining + GRACE_MILLISECONDS),
+      first: forwardFrame(request, remainingUntil(clock, deadline)),
+      body: request.body,
+      signal: request.signal,
+      onProceed: () => {},
+      lostReason: 'owner-unreachable',
+    });
+  }
+}
+
+/** Serves a request that another daemon passed on. */
+export function serveForwarded(
+  stream: AnswerStream,
+  handle: (request: CallerRequest) => Promise<CallerAnswer>,
+): void {
+  serveFrames(stream, (received) => {
+    const { head, body, signal, proceed } = received;
+    if (!body.isWhole) proceed();
+    return handle({
+      method: head.method,
+      path: head.path,
+      headers: fromFields(head.headers),
+      body,
+      workspace: head.workspace,
+      caller: head.caller,
+      callerZone: head.callerZone,
+      ticket: head.ticket,
+      limitMilliseconds: head.remainingMilliseconds,
+      signal,
+      isForwarded: true,
+    });
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/ShardRegistry.ts
@@ -0,0 +1,272 @@
+/**
+ * The shards that this daemon keeps now. Configuration and membership decide; when a shard moves
+ * to another daemon, its new keeper is told what is in use, and what is in flight here finishes.
+ */
+import type { ConfigurationState, ConfigurationStore } from '@cactusrun/configuration';
+import { targetKey } from '@cactusrun/configuration';
+import type { Clock, Contract, Counters, Logger, Random, Target } from '@cactusrun/core';
+import type { EjectionShares, TargetExplanation } from '@cactusrun/health';
+import { Ejector, ShardHealth } from '@cactusrun/health';
+import type { KeeperIndex, Scorer, Shard } from '@cactusrun/placement';
+import { createShards } from '@cactusrun/placement';
+import type { Attempt, AttemptResult, CrashWatch, TargetConnector } from '@cactusrun/requests';
+import { refusal, ShardKeeper, shareOfDeposits } from '@cactusrun/requests';
+import type { ShardHandover } from '@cactusrun/protocol';
+
+/** Slots that a former keeper told of are taken to be free again after this time. */
+const HANDOVER_MILLISECONDS = 2_000;
+
+export interface ShardRegistryOptions {
+  /** Name of this host. */
+  readonly self: string;
+  readonly scorer: Scorer;
+  readonly index: KeeperIndex;
+  readonly store: ConfigurationStore;
+  readonly connector: TargetConnector;
+  readonly crashes: CrashWatch;
+  readonly shares: EjectionShares;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly logger: Logger;
+  /** Addresses of targets that the host list says are leaving. */
+  readonly isLeavingAddress: (address: string) => boolean;
+  /** Told of the address of a target that answered that it drains. */
+  readonly noteDraining: (address: string) => void;
+  /** Whether this daemon must doubt its view of the fleet. */
+  readonly isDoubtful: () => boolean;
+  /** Tells the new keeper of a shard what is in use here. */
+  readonly handOver: (keeper: string, shard: string, keeperNow: ShardKeeper) => void;
+}
+
+interface KeptShard {
+  readonly shard: Shard;
+  readonly keeper: ShardKeeper;
+  readonly health: ShardHealth;
+  readonly ejector: Ejector;
+}
+
+/** One target as its keeper sees it. */
+export interface TargetReport extends TargetExplanation {
+  readonly service: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly keeper: string;
+  readonly slotsInUse: number;
+  readonly slots: number;
+  readonly isClosed: boolean;
+}
+
+export default class ShardRegistry {
+  private readonly kept = new Map<string, KeptShard>();
+
+  private shards = new Map<string, readonly Shard[]>();
+
+  private contracts: ReadonlyMap<string, Contract> = new Map();
+
+  private isStopping = false;
+
+  constructor(private readonly options: ShardRegistryOptions) {}
+
+  /** The shards of a service, wherever they are kept. */
+  public shardsOf(service: string): readonly Shard[] {
+    return this.shards.get(service) ?? [];
+  }
+
+  /** Name of the host that keeps the shard, by this daemon's view. */
+  public keeperOf(shard: Shard): string | undefined {
+    return this.options.index.keeperOf(shard);
+  }
+
+  /** Runs one request at a shard, if this daemon keeps it. */
+  public async run(attempt: Attempt): Promise<AttemptResult> {
+    const kept = this.kept.get(attempt.shard);
+    if (this.isStopping) return refusal('stopping', this.options.self);
+    if (kept === undefined) return refusal('keeper-changed', this.options.self);
+    if (this.options.isDoubtful()) return refusal('keeper-doubts-itself', this.options.self);
+    return kept.keeper.run(attempt);
+  }
+
+  /** Brings what is kept in line with the configuration and the members. */
+  public refresh(): void {
+    const state = this.options.store.current;
+    const before = this.contracts;
+    this.rebuildShards(state);
+    const wanted = new Map(
+      [...this.shards.values()]
+        .flat()
+        .filter((shard) => this.options.index.keeperOf(shard) === this.options.self)
+        .map((shard) => [shard.id, shard]),
+    );
+    this.kept.forEach((kept, id) => {
+      if (!wanted.has(id)) this.letGo(kept);
+    });
+    wanted.forEach((shard) => this.keep(shard, state, before));
+    this.options.counters.set('shards_kept', this.kept.size);
+  }
+
+  /** Asks for shares and gives them back as the evidence stands. */
+  public async reviewEjections(): Promise<void> {
+    await Promise.all([...this.kept.values()].map(({ ejector }) => ejector.review()));
+  }
+
+  /** Takes a former keeper's word of what is in use. */
+  public takeHandover(handover: ShardHandover): void {
+    const kept = this.kept.get(handover.shard);
+    this.options.counters.add('handovers', kept === undefined ? 'not-kept-here' : 'taken');
+    kept?.keeper.takeOver(
+      { windowStart: handover.windowStart, started: handover.depositsStarted },
+      new Map(Object.entries(handover.slotsInUse)),
+      HANDOVER_MILLISECONDS,
+    );
+  }
+
+  /** The targets were broken by a request that breaks whatever runs it. */
+  public forgiveTargets(): void {
+    this.kept.forEach(({ shard, health }) => {
+      shard.targets.forEach((target) => health.forgive(target.name));
+    });
+  }
+
+  /** No new work from now on; every shard is handed over. */
+  public stopTaking(): void {
+    this.isStopping = true;
+    [...this.kept.values()].forEach((kept) => this.letGo(kept));
+  }
+
+  /** Requests at targets now. */
+  public get inFlight(): number {
+    return [...this.kept.values()].reduce((sum, { keeper }) => sum + keeper.inFlight, 0);
+  }
+
+  /** The targets that this daemon keeps. */
+  public keptTargets(): readonly Target[] {
+    return [...this.kept.values()].flatMap(({ shard }) => shard.targets);
+  }
+
+  /** The targets that this daemon keeps, as operators see them. */
+  public report(service: string | undefined): readonly TargetReport[] {
+    return [...this.kept.values()]
+      .filter(({ shard }) => service === undefined || shard.service === service)
+      .flatMap((kept) => this.reportShard(kept));
+  }
+
+  private reportShard({ shard, keeper, health }: KeptShard): readonly TargetReport[] {
+    const slots = this.contracts.get(shard.service)?.slotsPerTarget ?? 0;
+    const use = keeper.use();
+    return shard.targets.flatMap((target) => {
+      const explanation = health.explain(target.name);
+      if (explanation === undefined) return [];
+      const report: TargetReport = {
+        ...explanation,
+        service: shard.service,
+        zone: target.zone,
+        address: target.address,
+        keeper: this.options.self,
+        slotsInUse: use.get(target.name) ?? 0,
+        slots,
+        isClosed: keeper.isClosed(target.name),
+      };
+      return [report];
+    });
+  }
+
+  private rebuildShards(state: ConfigurationState): void {
+    const { scorer } = this.options;
+    if (state.contracts === this.contracts) return;
+    this.shards = new Map(
+      [...state.contracts.values()].map((contract) => {
+        const isSame = this.contracts.get(contract.service)?.targets === contract.targets;
+        const known = isSame ? this.shards.get(contract.service) : undefined;
+        return [contract.service, known ?? createShards(scorer, contract)];
+      }),
+    );
+    this.contracts = state.contracts;
+  }
+
+  private depositShare(shard: Shard, contract: Contract): number {
+    const shards = this.shardsOf(shard.service);
+    const index = shards.findIndex((candidate) => candidate.id === shard.id);
+    const sizes = shards.map((candidate) => candidate.targets.length);
+    return shareOfDeposits(contract.depositsPerOrderWindow, sizes, index);
+  }
+
+  private isClosed(shard: Shard, state: ConfigurationState, name: string): boolean {
+    const target = shard.targets.find((candidate) => candidate.name === name);
+    const isLeaving = target !== undefined && this.options.isLeavingAddress(target.address);
+    return isLeaving || state.drained.has(targetKey(shard.service, name));
+  }
+
+  private keep(
+    shard: Shard,
+    state: ConfigurationState,
+    before: ReadonlyMap<string, Contract>,
+  ): void {
+    const contract = state.contracts.get(shard.service);
+    if (contract === undefined || this.isStopping) return;
+    const share = this.depositShare(shard, contract);
+    const known = this.kept.get(shard.id);
+    const kept = known ?? this.take(shard, contract, share, before);
+    kept.health.setTargets(shard.targets.map((target) => target.name));
+    kept.keeper.update(contract, shard.targets, share, (name) => this.isClosed(shard, state, name));
+    this.kept.set(shard.id, { ...kept, shard });
+  }
+
+  private take(
+    shard: Shard,
+    contract: Contract,
+    depositShare: number,
+    before: ReadonlyMap<string, Contract>,
+  ): KeptShard {
+    const { clock, counters, logger, shares, store } = this.options;
+    const { service } = shard;
+    const health = new ShardHealth({
+      ...this.options,
+      service,
+      targets: shard.targets.map((target) => target.name),
+      caution: contract.caution,
+      isEjected: (target) => shares.isEjected(service, target),
+    });
+    const keeper = new ShardKeeper({
+      ...this.options,
+      shard: shard.id,
+      contract,
+      targets: shard.targets,
+      depositShare,
+      health,
+      onLeaving: (target) => this.options.noteDraining(target.address),
+    });
+    const ejector = new Ejector({
+      service,
+      health,
+      shares,
+      clock,
+      otherwiseUnavailable: () => this.closedTargets(service),
+    });
+    const isNewContract = this.contracts !== before && !before.has(service) && store.isLive;
+    if (!isNewContract) keeper.takeOverUntold();
+    counters.add('shards', 'taken');
+    logger.info('shard-taken', { shard: shard.id });
+    return { shard, keeper, health, ejector };
+  }
+
+  private closedTargets(service: string): readonly string[] {
+    return [...this.kept.values()]
+      .filter(({ shard }) => shard.service === service)
+      .flatMap(({ shard, keeper }) =>
+        shard.targets.map((target) => target.name).filter((name) => keeper.isClosed(name)),
+      );
+  }
+
+  private letGo(kept: KeptShard): void {
+    const { index, counters, logger, handOver, self } = this.options;
+    const { shard, keeper, ejector } = kept;
+    this.kept.delete(shard.id);
+    keeper.giveUp();
+    ejector.giveUp().catch(() => counters.add('ejections', 'give-back-failed'));
+    const next = index.keeperOf(shard);
+    counters.add('shards', 'let-go');
+    logger.info('shard-let-go', { shard: shard.id, keeper: next });
+    if (next !== undefined && next !== self) handOver(next, shard.id, keeper);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/TicketedRequests.ts
@@ -0,0 +1,226 @@
+/**
+ * Requests that must run at most once. The daemon that a ticket names alone may run it; any other
+ * one passes the request on to it. A re-sent request joins the run, gets the kept answer, or is
+ * told what is known.
+ */
+import { createHash } from 'node:crypto';
+import { PassThrough, Readable, Transform } from 'node:stream';
+import type { Clock, Counters, Host } from '@cactusrun/core';
+import { OUTCOME_RULES } from '@cactusrun/core';
+import type {
+  AdmittedRun,
+  Answered,
+  AttemptResult,
+  LedgerEntry,
+  RequestBody,
+  RunEnd,
+  TicketFacts,
+  TicketIssuer,
+} from '@cactusrun/requests';
+import { readTicket, TicketLedger } from '@cactusrun/requests';
+import type { CallerAnswer, CallerRequest } from './CallerRequest.js';
+import { refused } from './CallerRequest.js';
+
+/** Longest answer that is kept for a caller who asks again. */
+const KEPT_ANSWER_BYTES = 256 * 1024;
+
+/** Runs the request once; `onAdmitted` is called when it may be handed to a target. */
+export type RunOnce = (
+  body: RequestBody,
+  signal: AbortSignal,
+  onAdmitted: () => void,
+) => Promise<AttemptResult>;
+
+export interface TicketedRequestsOptions {
+  readonly issuer: TicketIssuer;
+  readonly ledger: TicketLedger;
+  readonly self: Host;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  /** Passes a request on to the daemon that its ticket names. */
+  readonly forward: (
+    facts: TicketFacts,
+    request: CallerRequest,
+    deadline: number,
+  ) => Promise<CallerAnswer>;
+}
+
+function digestOf(bytes: Buffer): string {
+  return createHash('sha256').update(bytes).digest('hex');
+}
+
+/** Passes bytes through and tells their digest at the end; undefined when they were cut. */
+function digestingBody(
+  body: RequestBody,
+  onDigest: (digest: string | undefined) => void,
+): RequestBody {
+  if (body.rest === undefined) {
+    onDigest(digestOf(body.head));
+    return body;
+  }
+  const hash = createHash('sha256').update(body.head);
+  const rest = new Transform({
+    transform(chunk: Buffer, _encoding, done) {
+      hash.update(chunk);
+      done(null, chunk);
+    },
+    flush(done) {
+      onDigest(hash.digest('hex'));
+      done();
+    },
+  });
+  body.rest.on('error', (error) => rest.destroy(error));
+  rest.on('close', () => onDigest(undefined));
+  body.rest.pipe(rest);
+  return { ...body, rest };
+}
+
+export default class TicketedRequests {
+  constructor(private readonly options: TicketedRequestsOptions) {}
+
+  /** A new ticket of this daemon. */
+  public issue(): string {
+    return this.options.issuer.issue(this.options.clock.now());
+  }
+
+  /**
+   * Handles a request that must not run twice.
+   *
+   * @param deadline - monotonic time after which nobody waits
+   */
+  public async handle(
+    request: CallerRequest,
+    deadline: number,
+    runOnce: RunOnce,
+  ): Promise<CallerAnswer> {
+    const { ticket } = request;
+    if (ticket === undefined) return refused('ticket-required');
+    const facts = readTicket(ticket);
+    if (facts === undefined) return refused('ticket-malformed');
+    if (facts.incarnation !== this.options.self.incarnation) {
+      return this.passOn(facts, request, deadline);
+    }
+    if (!this.options.issuer.isOwn(ticket)) return refused('ticket-malformed');
+    return this.handleOwn(ticket, request, deadline, runOnce);
+  }
+
+  private passOn(
+    facts: TicketFacts,
+    request: CallerRequest,
+    deadline: number,
+  ): Promise<CallerAnswer> | CallerAnswer {
+    if (request.isForwarded) return refused('owner-gone', facts.host);
+    this.options.counters.add('tickets', 'forwarded');
+    return this.options.forward(facts, request, deadline);
+  }
+
+  private async handleOwn(
+    ticket: string,
+    request: CallerRequest,
+    deadline: number,
+    runOnce: RunOnce,
+  ): Promise<CallerAnswer> {
+    const requestKey = [request.method, request.path, request.workspace, request.caller].join(' ');
+    const admission = this.options.ledger.admit(ticket, { requestKey });
+    if (admission.kind === 'refused') return refused(admission.reason);
+    if (admission.kind === 'run') return TicketedRequests.run(admission.run, request, runOnce);
+    const joined = await this.join(admission.entry, request, deadline);
+    if (joined !== 'not-run') return joined;
+    return request.body.isWhole
+      ? this.handleOwn(ticket, request, deadline, runOnce)
+      : refused('first-not-run');
+  }
+
+  private static async run(
+    run: AdmittedRun,
+    request: CallerRequest,
+    runOnce: RunOnce,
+  ): Promise<CallerAnswer> {
+    const body = digestingBody(request.body, run.setBodyDigest);
+    const controller = new AbortController();
+    let isAdmitted = false;
+    const onGone = () => {
+      // What a target may run already is let to its end: the caller may ask for the answer again.
+      if (!isAdmitted || !body.isWhole) controller.abort();
+    };
+    request.signal.addEventListener('abort', onGone, { once: true });
+    if (request.signal.aborted) onGone();
+    const result = await runOnce(body, controller.signal, () => {
+      isAdmitted = true;
+    });
+    request.signal.removeEventListener('abort', onGone);
+    if (result.kind === 'answered') return TicketedRequests.keepWhileSending(run, result);
+    if (OUTCOME_RULES[result.reason].kind === 'not-run') run.release();
+    else run.inDoubt(result.reason);
+    return refused(result.reason, result.detail);
+  }
+
+  /** Passes the answer on and keeps a copy, whether or not the caller stays to hear it. */
+  private static keepWhileSending(run: AdmittedRun, result: Answered): CallerAnswer {
+    const out = new PassThrough();
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const { status, headers, body } = result;
+    body.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= KEPT_ANSWER_BYTES) chunks.push(chunk);
+      if (out.destroyed || out.write(chunk)) return;
+      body.pause();
+      out.once('drain', () => body.resume());
+      out.once('close', () => body.resume());
+    });
+    body.on('end', () => {
+      const isKept = size <= KEPT_ANSWER_BYTES;
+      run.answered(isKept ? { status, headers, body: Buffer.concat(chunks) } : undefined);
+      out.end();
+    });
+    body.on('error', (error) => {
+      run.inDoubt('target-broke-off');
+      out.destroy(error);
+    });
+    out.on('error', () => {});
+    return { kind: 'answered', status, headers, body: out };
+  }
+
+  private async join(
+    entry: LedgerEntry,
+    request: CallerRequest,
+    deadline: number,
+  ): Promise<CallerAnswer | 'not-run'> {
+    const limit = new AbortController();
+    const late = this.options.clock
+      .sleep(deadline - this.options.clock.now(), limit.signal)
+      .then(() => refused('target-timeout', 'joined a run that did not end in time'));
+    const answer = await Promise.race([TicketedRequests.joinToEnd(entry, request), late]);
+    limit.abort();
+    return answer;
+  }
+
+  private static async joinToEnd(
+    entry: LedgerEntry,
+    request: CallerRequest,
+  ): Promise<CallerAnswer | 'not-run'> {
+    const digest = await readDigest(request.body);
+    const expected = await Promise.race([entry.bodyDigest, entry.ended.then(() => undefined)]);
+    const isOther = expected !== undefined && digest !== expected;
+    if (digest === undefined || isOther) return refused('ticket-mismatch');
+    const end = await TicketLedger.endOf(entry);
+    return end === undefined ? 'not-run' : answerOf(end);
+  }
+}
+
+/** The digest of the whole body, read to its end and dropped; undefined when it is cut. */
+function readDigest(body: RequestBody): Promise<string | undefined> {
+  return new Promise((resolve) => {
+    const read = digestingBody(body, resolve);
+    read.rest?.on('error', () => resolve(undefined));
+    read.rest?.resume();
+  });
+}
+
+function answerOf(end: RunEnd): CallerAnswer {
+  if (end.kind === 'in-doubt') return refused(end.reason, 'as the first sending was told');
+  if (end.answer === undefined) return refused('answer-not-kept');
+  const { status, headers, body } = end.answer;
+  return { kind: 'answered', status, headers, body: Readable.from([body], { objectMode: false }) };
+}
--- /dev/null
+++ b/packages/daemon/src/readBodyHead.ts
@@ -0,0 +1,77 @@
+/** Reads the beginning of a request's body, and bounds the rest. */
+import type { IncomingMessage } from 'node:http';
+import { Transform } from 'node:stream';
+import type { Clock } from '@cactusrun/core';
+import type { RequestBody } from '@cactusrun/requests';
+
+/** A body up to this length is read whole before anything is done with it. */
+export const BODY_HEAD_BYTES = 64 * 1024;
+
+export type BodyHead =
+  | { readonly kind: 'read'; readonly body: RequestBody }
+  | { readonly kind: 'too-slow' }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'cut' };
+
+function boundedRest(request: IncomingMessage, headBytes: number, limitBytes: number): Transform {
+  let size = headBytes;
+  const rest = new Transform({
+    transform(chunk: Buffer, _encoding, done) {
+      size += chunk.length;
+      if (size > limitBytes) done(new Error('body over the limit'));
+      else done(null, chunk);
+    },
+  });
+  request.on('aborted', () => rest.destroy(new Error('request cut')));
+  request.on('error', (error) => rest.destroy(error));
+  request.pipe(rest);
+  return rest;
+}
+
+/**
+ * Reads until the body ends or its head is full.
+ *
+ * @param limitBytes - longest body allowed
+ * @param limitMilliseconds - longest wait for the head
+ */
+export function readBodyHead(
+  request: IncomingMessage,
+  limitBytes: number,
+  limitMilliseconds: number,
+  clock: Clock,
+): Promise<BodyHead> {
+  const announced = Number(request.headers['content-length'] ?? 0);
+  if (announced > limitBytes) return Promise.resolve({ kind: 'too-large' });
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const listening = new AbortController();
+    const finish = (result: BodyHead) => {
+      listening.abort();
+      resolve(result);
+    };
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size < BODY_HEAD_BYTES) return;
+      request.pause();
+      request.off('data', onData);
+      const rest = boundedRest(request, size, limitBytes);
+      finish({ kind: 'read', body: { head: Buffer.concat(chunks), isWhole: false, rest } });
+    };
+    const onEnd = () => {
+      finish({ kind: 'read', body: { head: Buffer.concat(chunks), isWhole: true } });
+    };
+    const onCut = () => finish({ kind: 'cut' });
+    const cancel = clock.after(limitMilliseconds, () => finish({ kind: 'too-slow' }));
+    listening.signal.addEventListener('abort', () => {
+      cancel();
+      request.off('data', onData);
+      request.off('end', onEnd);
+      request.off('close', onCut);
+    });
+    request.on('data', onData);
+    request.on('end', onEnd);
+    request.on('close', onCut);
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/serveFrames.ts
@@ -0,0 +1,121 @@
+/** The serving side of a request between daemons. */
+import { PassThrough } from 'node:stream';
+import type { AnswerFrame, AnswerStream, RequestFrame, RequestHead } from '@cactusrun/protocol';
+import { AnswerFrameSchema, create } from '@cactusrun/protocol';
+import type { HeaderField, RequestBody, ShardLoad } from '@cactusrun/requests';
+import type { OutcomeReason } from '@cactusrun/core';
+import type { Readable } from 'node:stream';
+import { answerHeadFrame, refusalFrame } from './frames.js';
+
+/** A request that came from another daemon. */
+export interface ReceivedRequest {
+  readonly head: RequestHead;
+  readonly body: RequestBody;
+  readonly signal: AbortSignal;
+  /** Tells the calling side that a slot is held. */
+  readonly proceed: () => void;
+}
+
+/** What the calling side is told. */
+export type FrameAnswer =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly headers: readonly HeaderField[];
+      readonly body: Readable;
+      readonly target?: string;
+      readonly load?: ShardLoad;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly reason: OutcomeReason;
+      readonly detail: string;
+      readonly load?: ShardLoad;
+    };
+
+function writeAnswer(stream: AnswerStream, answer: FrameAnswer): void {
+  if (answer.kind === 'refused') {
+    stream.write(refusalFrame(answer.reason, answer.detail, answer.load));
+    stream.end();
+    return;
+  }
+  const { body } = answer;
+  let pending: AnswerFrame | undefined = answerHeadFrame(answer);
+  const flush = (chunk: Buffer, isLast: boolean) => {
+    const frame = pending ?? create(AnswerFrameSchema, {});
+    pending = undefined;
+    frame.chunk = chunk;
+    frame.isLast = isLast;
+    return stream.write(frame);
+  };
+  body.on('data', (chunk: Buffer) => {
+    if (flush(chunk, false)) return;
+    body.pause();
+    stream.once('drain', () => body.resume());
+  });
+  body.on('end', () => {
+    flush(Buffer.alloc(0), true);
+    stream.end();
+  });
+  body.on('error', (error) => stream.destroy(error));
+  stream.on('cancelled', () => body.destroy());
+}
+
+function receive(
+  stream: AnswerStream,
+  first: RequestFrame,
+  head: RequestHead,
+  signal: AbortSignal,
+): ReceivedRequest {
+  const body = Buffer.from(first.chunk);
+  let hasProceeded = false;
+  const proceed = () => {
+    if (!hasProceeded) stream.write(create(AnswerFrameSchema, { proceed: true }));
+    hasProceeded = true;
+  };
+  if (first.isLast) return { head, body: { head: body, isWhole: true }, signal, proceed };
+  const rest = new PassThrough();
+  let isWhole = false;
+  stream.on('data', (frame: RequestFrame) => {
+    isWhole ||= frame.isLast;
+    if (frame.chunk.length > 0 && !rest.write(frame.chunk)) {
+      stream.pause();
+      rest.once('drain', () => stream.resume());
+    }
+    if (frame.isLast) rest.end();
+  });
+  const cut = () => {
+    if (!isWhole) rest.destroy(new Error('request cut between daemons'));
+  };
+  stream.on('end', cut);
+  stream.on('cancelled', cut);
+  return { head, body: { head: body, isWhole: false, rest }, signal, proceed };
+}
+
+/** Reads a request from the stream, has it handled and writes what came of it. */
+export function serveFrames(
+  stream: AnswerStream,
+  handle: (request: ReceivedRequest) => Promise<FrameAnswer>,
+): void {
+  const controller = new AbortController();
+  stream.on('cancelled', () => controller.abort());
+  stream.on('error', () => controller.abort());
+  stream.once('data', (first: RequestFrame) => {
+    if (first.head === undefined) {
+      stream.end();
+      return;
+    }
+    const request = receive(stream, first, first.head, controller.signal);
+    handle(request).then(
+      (answer) => {
+        if (controller.signal.aborted) discard(answer);
+        else writeAnswer(stream, answer);
+      },
+      (error: Error) => stream.destroy(error),
+    );
+  });
+}
+
+function discard(answer: FrameAnswer): void {
+  if (answer.kind === 'answered') answer.body.destroy();
+}
--- /dev/null
+++ b/packages/platform/src/HttpPlatform.ts
@@ -0,0 +1,138 @@
+/** The platform over HTTP, in the form that `docs/PLATFORM.md` describes. */
+import type { LogEntry } from '@cactusrun/configuration';
+import { checkAgainst } from '@cactusrun/configuration';
+import { describeError } from '@cactusrun/core';
+import { Pool } from 'undici';
+import { z } from 'zod';
+import type { HostList, ListedHost, LogPage, PlatformFailure, PlatformLog } from './PlatformLog.js';
+import { PlatformError } from './PlatformLog.js';
+
+const CALL_MILLISECONDS = 2_000;
+const CONNECTIONS = 4;
+const FIRST_ERROR_STATUS = 400;
+const STREAM = 'configuration';
+
+const PageSchema = z.object({
+  firstOffset: z.number().int(),
+  nextOffset: z.number().int(),
+  records: z.array(z.object({ offset: z.number().int(), timestamp: z.number(), data: z.string() })),
+});
+
+const AppendedSchema = z.object({ offset: z.number().int() });
+
+const HostsSchema = z.object({
+  hosts: z.array(
+    z.object({
+      name: z.string(),
+      kind: z.enum(['entry', 'upstream']),
+      address: z.string(),
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+
+/** Errors of undici after which no byte can have reached the platform. */
+const UNSENT_CODES: readonly string[] = ['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH'];
+
+interface Call {
+  readonly step: string;
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: string;
+  readonly limitMilliseconds: number;
+  readonly signal?: AbortSignal | undefined;
+}
+
+function failureOf(error: unknown): PlatformFailure {
+  const { code } = error as { code?: string };
+  return code !== undefined && UNSENT_CODES.includes(code) ? 'refused' : 'in-doubt';
+}
+
+export default class HttpPlatform implements PlatformLog, HostList {
+  private readonly pool: Pool;
+
+  /** @param address - `ip:port` of the platform's service */
+  constructor(address: string) {
+    this.pool = new Pool(`http://${address}`, {
+      connections: CONNECTIONS,
+      pipelining: 1,
+      connect: { timeout: CALL_MILLISECONDS },
+    });
+  }
+
+  public async append(data: string): Promise<number> {
+    const { offset } = await this.call(AppendedSchema, {
+      step: 'appending',
+      method: 'POST',
+      path: `/streams/${STREAM}/records`,
+      body: data,
+      limitMilliseconds: CALL_MILLISECONDS,
+    });
+    return offset;
+  }
+
+  public async read(
+    from: number,
+    waitMilliseconds: number,
+    signal?: AbortSignal,
+  ): Promise<LogPage> {
+    const query = `from=${from}&waitMilliseconds=${Math.round(waitMilliseconds)}`;
+    const page = await this.call(PageSchema, {
+      step: 'reading the log',
+      method: 'GET',
+      path: `/streams/${STREAM}/records?${query}`,
+      limitMilliseconds: waitMilliseconds + CALL_MILLISECONDS,
+      signal,
+    });
+    const entries: readonly LogEntry[] = page.records;
+    return { firstOffset: page.firstOffset, nextOffset: page.nextOffset, entries };
+  }
+
+  public async list(): Promise<readonly ListedHost[]> {
+    const { hosts } = await this.call(HostsSchema, {
+      step: 'reading the host list',
+      method: 'GET',
+      path: '/hosts',
+      limitMilliseconds: CALL_MILLISECONDS,
+    });
+    return hosts;
+  }
+
+  public async close(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  private async call<Value>(schema: z.ZodType<Value>, call: Call): Promise<Value> {
+    const limit = AbortSignal.timeout(call.limitMilliseconds);
+    const signal = call.signal === undefined ? limit : AbortSignal.any([limit, call.signal]);
+    const { statusCode, text } = await this.request(call, signal);
+    if (statusCode >= FIRST_ERROR_STATUS) {
+      throw new PlatformError(`status ${statusCode}: ${text}`, call.step, 'refused');
+    }
+    const { value, problems } = checkAgainst(schema, parseJson(text));
+    if (value === undefined) {
+      const problem = problems[0]?.message ?? 'not understood';
+      throw new PlatformError(`answer out of shape: ${problem}`, call.step, 'in-doubt');
+    }
+    return value;
+  }
+
+  private async request(call: Call, signal: AbortSignal) {
+    try {
+      const { method, path } = call;
+      const body = call.body ?? null;
+      const response = await this.pool.request({ method, path, body, signal });
+      return { statusCode: response.statusCode, text: await response.body.text() };
+    } catch (error) {
+      throw new PlatformError(describeError(error), call.step, failureOf(error), error);
+    }
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/requests/src/RouteTable.ts
@@ -0,0 +1,57 @@
+/** Finds the route of a request: the one with the longest path prefix on a segment's boundary. */
+import type { Contract, Route } from '@cactusrun/core';
+
+export interface ResolvedRoute {
+  readonly contract: Contract;
+  readonly route: Route;
+}
+
+const ANY_HOST = '*';
+
+function tableKey(workspace: string, host: string, pathPrefix: string): string {
+  return `${workspace} ${host} ${pathPrefix}`;
+}
+
+/** `/a/b/c`, `/a/b/`, `/a/b`, `/a/`, `/a`, `/`: the prefixes that end on a boundary. */
+function prefixesOf(path: string): readonly string[] {
+  const [plain = '/'] = path.split('?');
+  const segments = plain.split('/').slice(1);
+  const prefixes = segments.flatMap((_, index) => {
+    const base = `/${segments.slice(0, index).join('/')}`;
+    return index === 0 ? ['/'] : [base, `${base}/`];
+  });
+  return [...new Set([...prefixes, plain])].reverse();
+}
+
+export default class RouteTable {
+  private readonly routes = new Map<string, ResolvedRoute[]>();
+
+  constructor(contracts: ReadonlyMap<string, Contract>) {
+    contracts.forEach((contract) => {
+      contract.routes.forEach((route) => {
+        const key = tableKey(contract.workspace, route.host, route.pathPrefix);
+        const entries = this.routes.get(key) ?? [];
+        entries.push({ contract, route });
+        this.routes.set(key, entries);
+      });
+    });
+  }
+
+  /** The route of a request, or undefined when none matches. */
+  public resolve(
+    workspace: string,
+    host: string,
+    method: string,
+    path: string,
+  ): ResolvedRoute | undefined {
+    const prefixes = prefixesOf(path);
+    return [host, ANY_HOST]
+      .flatMap((candidate) => prefixes.map((prefix) => tableKey(workspace, candidate, prefix)))
+      .map((key) => this.routes.get(key)?.find(({ route }) => takesMethod(route, method)))
+      .find((found) => found !== undefined);
+  }
+}
+
+function takesMethod(route: Route, method: string): boolean {
+  return route.methods.length === 0 || route.methods.includes(method);
+}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,12 @@
+export { default as LinkPipe } from './LinkPipe.js';
+export { default as StandInLink } from './StandInLink.js';
+export { default as StandInPlatform } from './StandInPlatform.js';
+export {
+  default as StandInUpstream,
+  IDENTITY_HEADER,
+  STATE_HEADER,
+  WORK_HEADER,
+} from './StandInUpstream.js';
+export type { LinkDirection, LinkFaults, StandInLinkOptions } from './StandInLink.js';
+export type { PlatformFaults, StandInHost, StandInPlatformOptions } from './StandInPlatform.js';
+export type { RunRecord, StandInUpstreamOptions, UpstreamFaults } from './StandInUpstream.js';
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,17 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['packages/*/src/__tests__/{unit,golden}/**/*.test.ts'],
+    reporters: ['default', './tools/countReporter.mjs'],
+    testTimeout: 30_000,
+  },
+  resolve: {
+    alias: [
+      {
+        find: /^@cactusrun\/([a-z-]+)$/,
+        replacement: `${import.meta.dirname}/packages/$1/src/index.ts`,
+      },
+    ],
+  },
+});
