Judge targets against their peers; try the policies on a faked clock

Change: the peers' slow means and a fast mean over all that the peers do now are both kept, and the one more favourable to the target counts; a target must also do worse than its peers at the moment of the decision. Membership is split by concern; one-way faults are noted from both sides.

--- /dev/null
+++ b/packages/bench/src/experiment/MemoryShareLog.ts
@@ -0,0 +1,69 @@
+/** The platform's log in memory, for the shares of one experiment: the real fold, a short delay. */
+import type { ConfigurationState, LogRecord } from '@cactusrun/configuration';
+import { EMPTY_STATE, encodeRecord, foldEntry, targetKey } from '@cactusrun/configuration';
+import type { Clock, Contract } from '@cactusrun/core';
+import type { ShareLog, ShareView } from '@cactusrun/health';
+
+const APPEND_MILLISECONDS = 10;
+
+export default class MemoryShareLog implements ShareLog {
+  private state: ConfigurationState = EMPTY_STATE;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly holder: string,
+    contract: Contract,
+  ) {
+    this.append({
+      kind: 'change',
+      identity: 'contract',
+      author: 'experiment',
+      baseRevision: -1,
+      operations: [{ kind: 'create-contract', contract }],
+    });
+  }
+
+  public async claim(
+    service: string,
+    target: string,
+    leaseMilliseconds: number,
+    otherwiseUnavailable: readonly string[],
+  ): Promise<void> {
+    await this.clock.sleep(APPEND_MILLISECONDS);
+    this.append({
+      kind: 'ejection-claim',
+      service,
+      target,
+      holder: this.holder,
+      leaseMilliseconds,
+      otherwiseUnavailable: [...otherwiseUnavailable],
+    });
+  }
+
+  public async renew(leaseMilliseconds: number): Promise<number> {
+    await this.clock.sleep(APPEND_MILLISECONDS);
+    this.append({ kind: 'ejection-renewal', holder: this.holder, leaseMilliseconds });
+    return this.state.offset;
+  }
+
+  public async giveBack(service: string, target: string): Promise<void> {
+    await this.clock.sleep(APPEND_MILLISECONDS);
+    this.append({ kind: 'ejection-return', service, target, holder: this.holder });
+  }
+
+  public view(service: string, target: string): ShareView | undefined {
+    return this.state.claims.get(targetKey(service, target));
+  }
+
+  public appliedOffset(): number {
+    return this.state.offset;
+  }
+
+  private append(record: LogRecord): void {
+    this.state = foldEntry(this.state, {
+      offset: this.state.offset + 1,
+      timestamp: this.clock.wallNow(),
+      data: encodeRecord(record),
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/experiment/TrialLoad.ts
@@ -0,0 +1,54 @@
+/** Sends the requests of a trial and counts what came of them. */
+import type { ManualClock, Random } from '@cactusrun/core';
+import type { Attempt, AttemptResult, ShardKeeper } from '@cactusrun/requests';
+import type { Shape } from './runTrial.js';
+
+export const CALLER_ZONES = ['zone-a', 'zone-b'];
+const LATE_FACTOR = 10;
+
+export default class TrialLoad {
+  public requests = 0;
+
+  public lost = 0;
+
+  public late = 0;
+
+  constructor(
+    private readonly keeper: ShardKeeper,
+    private readonly clock: ManualClock,
+    private readonly random: Random,
+    private readonly shape: Shape,
+  ) {}
+
+  public sendOne(): void {
+    const startedAt = this.clock.now();
+    const number = this.requests;
+    this.requests += 1;
+    const attempt: Attempt = {
+      service: 'service',
+      shard: 'shard',
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: { head: Buffer.alloc(0), isWhole: true },
+      requestClass: 'idempotent',
+      priority: 'normal',
+      isDeposit: false,
+      fingerprint: `request-${number}`,
+      callerZone: CALLER_ZONES[this.random.below(CALLER_ZONES.length)] ?? '',
+      deadline: startedAt + this.shape.deadlineMilliseconds,
+      signal: new AbortController().signal,
+    };
+    this.keeper.run(attempt).then((result) => this.note(result, startedAt));
+  }
+
+  private note(result: AttemptResult, startedAt: number): void {
+    if (result.kind === 'refused') {
+      this.lost += 1;
+      return;
+    }
+    result.body.resume();
+    const limit = this.shape.workMilliseconds * LATE_FACTOR;
+    if (this.clock.now() - startedAt > limit) this.late += 1;
+  }
+}
--- a/packages/core/src/ManualClock.ts
+++ b/packages/core/src/ManualClock.ts
@@ -25,17 +25,12 @@
   }
 
   public after(milliseconds: number, callback: () => void): () => void {
-    let isLive = true;
     this.order += 1;
-    this.heap.push({
-      due: this.time + Math.max(0, milliseconds),
-      order: this.order,
-      callback: () => {
-        if (isLive) callback();
-      },
-    });
+    const due = this.time + Math.max(0, milliseconds);
+    const timer = { due, order: this.order, callback, isLive: true };
+    this.heap.push(timer);
     return () => {
-      isLive = false;
+      timer.isLive = false;
     };
   }
 
@@ -46,24 +41,13 @@
     let timer = this.heap.peek();
     while (timer !== undefined && timer.due <= end) {
       this.heap.pop();
-      this.time = timer.due;
-      timer.callback();
-      // Each timer must see the effects of the one before it.
-      // eslint-disable-next-line no-await-in-loop
-      await settle();
-      timer = this.heap.peek();
-    }
-    this.time = end;
-  }
-
-  /** Moves time on without letting promises settle: for code that uses callbacks only. */
-  public advanceWithoutSettling(milliseconds: number): void {
-    const end = this.time + milliseconds;
-    let timer = this.heap.peek();
-    while (timer !== undefined && timer.due <= end) {
-      this.heap.pop();
-      this.time = timer.due;
-      timer.callback();
+      if (timer.isLive) {
+        this.time = Math.max(this.time, timer.due);
+        timer.callback();
+        // Each timer must see the effects of the one before it.
+        // eslint-disable-next-line no-await-in-loop
+        await settle();
+      }
       timer = this.heap.peek();
     }
     this.time = end;
--- a/packages/core/src/TimerHeap.ts
+++ b/packages/core/src/TimerHeap.ts
@@ -3,6 +3,8 @@
   readonly due: number;
   readonly order: number;
   readonly callback: () => void;
+  /** A cancelled timer is passed over. */
+  isLive: boolean;
 }
 
 /** A binary heap of timers, earliest first; equal times keep the order of their making. */
--- a/packages/daemon/src/ShardRegistry.ts
+++ b/packages/daemon/src/ShardRegistry.ts
@@ -226,6 +226,7 @@
       targets: shard.targets.map((target) => target.name),
       caution: contract.caution,
       isEjected: (target) => shares.isEjected(service, target),
+      onReturn: () => this.kept.get(shard.id)?.keeper.wake(),
     });
     const keeper = new ShardKeeper({
       ...this.options,
--- a/packages/daemon/src/ShardRouter.ts
+++ b/packages/daemon/src/ShardRouter.ts
@@ -47,6 +47,8 @@
   readonly gateway: KeeperGateway;
   /** The serving member of that name, if this daemon can reach it. */
   readonly findHost: (name: string) => Host | undefined;
+  /** Whether this daemon and that member hear one another, as far as is known. */
+  readonly isReachable: (name: string) => boolean;
   readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
@@ -122,7 +124,7 @@
     return result;
   }
 
-  /** The shards in random order, the freer the likelier first, the doubtful last. */
+  /** The shards in random order, the freer the likelier first, the doubtful and the unreachable last. */
   private rank(shards: readonly Shard[]): readonly Shard[] {
     return shards
       .map((shard) => ({ shard, rank: this.rankOf(shard) }))
@@ -131,7 +133,9 @@
   }
 
   private rankOf(shard: Shard): number {
-    const { clock, random } = this.options;
+    const { clock, random, registry, isReachable } = this.options;
+    const keeper = registry.keeperOf(shard);
+    if (keeper !== undefined && !isReachable(keeper)) return -1 - random.unit();
     const hint = this.hints.get(shard.id);
     const isFresh = hint !== undefined && clock.now() - hint.at < HINT_MILLISECONDS;
     if (!isFresh) return shard.targets.length * random.unit();
--- a/packages/daemon/src/wireDaemon.ts
+++ b/packages/daemon/src/wireDaemon.ts
@@ -238,7 +238,15 @@
 
   // The path of a request.
   const gateway = new KeeperGateway({ self: host.name, registry, clients, clock, counters });
-  const router = new ShardRouter({ registry, gateway, findHost, clock, random, counters });
+  const router = new ShardRouter({
+    registry,
+    gateway,
+    findHost,
+    isReachable: (name) => membership.isReachable(name),
+    clock,
+    random,
+    counters,
+  });
   const forwarder = new RequestForwarder({ membership, clients, clock, counters });
   const tickets = new TicketedRequests({
     issuer: new TicketIssuer(host.name, host.incarnation),
--- a/packages/health/src/CautionLevels.ts
+++ b/packages/health/src/CautionLevels.ts
@@ -13,7 +13,7 @@
 }
 
 export const CAUTION_LEVELS: Readonly<Record<EjectionCaution, CautionLevel>> = {
-  swift: { steerScore: 3, ejectScore: 6 },
-  balanced: { steerScore: 4.5, ejectScore: 9 },
-  careful: { steerScore: 6.5, ejectScore: 13 },
+  swift: { steerScore: 4.6, ejectScore: 8 },
+  balanced: { steerScore: 6.9, ejectScore: 12 },
+  careful: { steerScore: 9.2, ejectScore: 16 },
 };
--- a/packages/health/src/ShardHealth.ts
+++ b/packages/health/src/ShardHealth.ts
@@ -13,10 +13,12 @@
   Standing,
   TargetHealth,
 } from '@cactusrun/core';
+import type { CautionLevel } from './CautionLevels.js';
 import { CAUTION_LEVELS } from './CautionLevels.js';
 import { durationRatio, failureRatio, OVERDUE_FACTOR, TIMEOUT_RATIO } from './evidence.js';
 import FadingQuantile from './FadingQuantile.js';
 import medianOf from './medianOf.js';
+import PeerBaseline from './PeerBaseline.js';
 import TargetRecord from './TargetRecord.js';
 
 /** Sums are capped at this multiple of the threshold, so that a target can return. */
@@ -42,6 +44,8 @@
   readonly service: string;
   readonly targets: readonly string[];
   readonly caution: EjectionCaution;
+  /** Thresholds in place of those of the caution; for experiments. */
+  readonly level?: CautionLevel;
   readonly clock: Clock;
   readonly counters: Counters;
   readonly logger: Logger;
@@ -86,6 +90,8 @@
 export default class ShardHealth implements TargetHealth {
   private readonly records = new Map<string, TargetRecord>();
 
+  private readonly baseline = new PeerBaseline(FIRST_PEER_MILLISECONDS);
+
   private readonly lateness = new FadingQuantile(LATE_QUANTILE, 2 * FIRST_PEER_MILLISECONDS, 0.05);
 
   private readonly handlers: Readonly<Record<ObservedResult, FinishHandler>> = {
@@ -107,11 +113,14 @@
     const { clock } = this.options;
     const wanted = new Set(targets);
     this.records.forEach((_, name) => {
-      if (!wanted.has(name)) this.records.delete(name);
+      if (wanted.has(name)) return;
+      this.records.delete(name);
+      this.baseline.remove(name);
     });
     targets
       .filter((name) => !this.records.has(name))
       .forEach((name) => {
+        this.baseline.add(name);
         const cap = this.level.ejectScore * CAP_FACTOR;
         this.records.set(name, new TargetRecord(name, cap, clock.now() + COLD_MILLISECONDS));
       });
@@ -181,6 +190,7 @@
     if (this.isDoubtful) return [];
     return [...this.records.values()]
       .filter((record) => record.isSteered && this.relativeScore(record) >= this.level.ejectScore)
+      .filter((record) => this.baseline.isWorseThanPeers(record.name))
       .map((record) => record.name);
   }
 
@@ -209,17 +219,17 @@
       score: record.cusum.score,
       peerScore: this.peerScore(record),
       ...this.level,
-      meanMilliseconds: record.duration.value,
-      peerMilliseconds: this.peerMilliseconds(record),
-      failureRate: record.failures.value,
-      samples: record.duration.samples,
+      meanMilliseconds: this.baseline.meanMilliseconds(target),
+      peerMilliseconds: this.baseline.peerMilliseconds(target),
+      failureRate: this.baseline.failureRate(target),
+      samples: this.baseline.samples(target),
       flaps: record.flaps,
       callerZones: zones,
     };
   }
 
-  private get level() {
-    return CAUTION_LEVELS[this.options.caution];
+  private get level(): CautionLevel {
+    return this.options.level ?? CAUTION_LEVELS[this.options.caution];
   }
 
   private reasonFor(record: TargetRecord, zones: readonly string[]): TargetExplanation['reason'] {
@@ -243,24 +253,16 @@
     return record.cusum.score - this.peerScore(record);
   }
 
-  private peerMilliseconds(record: TargetRecord): number {
-    const known = this.peersOf(record).filter((peer) => peer.duration.samples > 0);
-    if (known.length > 0) return medianOf(known.map((peer) => peer.duration.value));
-    return record.duration.samples > 0 ? record.duration.value : FIRST_PEER_MILLISECONDS;
-  }
-
-  private peerFailureRate(record: TargetRecord): number {
-    return medianOf(this.peersOf(record).map((peer) => peer.failures.value));
-  }
-
   /** Looks at a running request again and again as it grows older. */
   private watch(request: RunningRequest, factor: number): void {
     const { clock } = this.options;
-    const peer = this.peerMilliseconds(request.record);
-    const wait = request.startedAt + factor * peer - clock.now();
-    request.cancelWatch = clock.after(Math.max(1, wait), () => {
+    const { name } = request.record;
+    const due = request.startedAt + factor * this.baseline.peerMilliseconds(name);
+    request.cancelWatch = clock.after(Math.max(1, due - clock.now()), () => {
       const elapsed = clock.now() - request.startedAt;
-      this.addEvidence(request, weighSilence(request, durationRatio(elapsed, peer)));
+      const ratio = durationRatio(elapsed, this.baseline.peerMilliseconds(name));
+      this.addEvidence(request, weighSilence(request, ratio));
+      this.baseline.noteOverdue(name, elapsed);
       this.review(request.record);
       if (request.counted < TIMEOUT_RATIO) this.watch(request, factor + 1);
     });
@@ -280,24 +282,28 @@
     const { record } = request;
     const now = this.options.clock.now();
     record.noteUp(now + COLD_MILLISECONDS);
-    this.addEvidence(request, durationRatio(elapsed, this.peerMilliseconds(record)));
+    const peer = this.baseline.peerMilliseconds(record.name);
+    this.addEvidence(request, durationRatio(elapsed, peer));
     record.zone(request.zone).lastGoodAt = now;
-    record.failures.add(0);
-    if (now < record.coldUntil && record.duration.samples > 0) return;
-    record.duration.add(elapsed);
+    this.baseline.noteOutcome(record.name, false);
+    if (now < record.coldUntil && this.baseline.samples(record.name) > 1) return;
+    this.baseline.noteDuration(record.name, elapsed);
     this.lateness.add(elapsed);
   }
 
   private noteFailure(request: RunningRequest): void {
-    const { record } = request;
-    const rate = this.peerFailureRate(record);
-    record.failures.add(1);
+    const { name } = request.record;
+    const rate = this.baseline.peerFailureRate(name);
+    this.baseline.noteOutcome(name, true);
     this.addEvidence(request, Math.max(request.counted, failureRatio(rate)));
   }
 
   private noteTimeout(request: RunningRequest): void {
-    request.record.failures.add(1);
-    this.addEvidence(request, weighSilence(request, TIMEOUT_RATIO));
+    const { name } = request.record;
+    const rate = this.baseline.peerFailureRate(name);
+    this.baseline.noteOutcome(name, true);
+    const ratio = weighSilence(request, Math.min(TIMEOUT_RATIO, failureRatio(rate)));
+    this.addEvidence(request, Math.max(request.counted, ratio));
   }
 
   private noteDown(request: RunningRequest): void {
@@ -313,7 +319,8 @@
   /** Steers around a target for good reasons against it alone; lets it return when they are gone. */
   private review(record: TargetRecord): void {
     const score = this.relativeScore(record);
-    if (!record.isSteered && score >= this.level.steerScore && !this.servesSomeZone(record)) {
+    const isSick = score >= this.level.steerScore && this.baseline.isWorseThanPeers(record.name);
+    if (!record.isSteered && isSick && !this.servesSomeZone(record)) {
       this.steer(record);
     } else if (record.isSteered && score <= this.level.steerScore * RETURN_SHARE) {
       this.takeBack(record);
--- a/packages/health/src/TargetRecord.ts
+++ b/packages/health/src/TargetRecord.ts
@@ -1,8 +1,6 @@
 /** What one keeper knows of one target. */
 import Cusum from './Cusum.js';
-import FadingMean from './FadingMean.js';
 
-const MEAN_WEIGHT = 0.05;
 const FIRST_RETRY_MILLISECONDS = 250;
 const LONGEST_RETRY_MILLISECONDS = 5_000;
 
@@ -15,10 +13,6 @@
 export default class TargetRecord {
   public readonly cusum: Cusum;
 
-  public readonly duration = new FadingMean(MEAN_WEIGHT);
-
-  public readonly failures = new FadingMean(MEAN_WEIGHT);
-
   public readonly zones = new Map<string, ZoneEvidence>();
 
   public isSteered = false;
--- a/packages/health/src/evidence.ts
+++ b/packages/health/src/evidence.ts
@@ -29,11 +29,6 @@
   return clamp(Math.max(0, Math.log(SICK_FAILURE_RATE / healthy)));
 }
 
-/** Evidence of an answer that came in a time like the peers'. */
-export function answerRatio(milliseconds: number, peerMilliseconds: number): number {
-  return durationRatio(milliseconds, peerMilliseconds);
-}
-
 /** Evidence of a request that was given up at its time limit. */
 export const TIMEOUT_RATIO = STRONGEST_AGAINST;
 
--- a/packages/membership/src/Membership.ts
+++ b/packages/membership/src/Membership.ts
@@ -1,29 +1,28 @@
 /**
- * Membership between daemons in the manner of SWIM: each probes one other per period, asks some
- * to probe in its place when it gets no answer, and passes statements on with its messages. The
- * cost of a daemon does not grow with the fleet.
+ * Membership between daemons in the manner of SWIM (Das, Gupta, Motivala 2002): each probes one
+ * other per period, asks some to probe in its place when it gets no answer, and passes statements
+ * on with its messages. The cost of a daemon does not grow with the fleet.
  */
 import type { Clock, Counters, Host, Logger, Random, Stop } from '@cactusrun/core';
 import { EventChannel, pickOne, repeatUntilAborted, shuffle, startTask } from '@cactusrun/core';
 import type { MemberMessage } from '@cactusrun/protocol';
-import { create, MemberMessageSchema } from '@cactusrun/protocol';
 import type { Member, MemberState } from './Member.js';
-import { fromUpdate, toUpdate } from './Member.js';
+import { fromUpdate } from './Member.js';
 import {
-  DIRECT_WAIT_MILLISECONDS,
   FORGET_MILLISECONDS,
-  INDIRECT_PROBES,
-  LATENESS_MILLISECONDS,
   NEWS_FANOUT,
-  PROBE_PERIOD_MILLISECONDS,
   REJOIN_PERIOD_MILLISECONDS,
   SILENCE_MILLISECONDS,
   SUSPICION_MINIMUM_MILLISECONDS,
   SUSPICION_PER_DECADE_MILLISECONDS,
-  UPDATES_PER_MESSAGE,
 } from './MembershipConstants.js';
-import type { MemberTransport } from './MemberTransport.js';
+import type { MessageKind } from './MemberMessenger.js';
+import MemberMessenger from './MemberMessenger.js';
+import type { ProbeResult } from './MemberProber.js';
+import MemberProber from './MemberProber.js';
 import MemberTable from './MemberTable.js';
+import type { MemberTransport } from './MemberTransport.js';
+import ReachabilityTable from './ReachabilityTable.js';
 import UpdateQueue from './UpdateQueue.js';
 
 export interface MembershipOptions {
@@ -37,17 +36,16 @@
   readonly logger: Logger;
 }
 
-type MessageKind =
-  'ping' | 'acknowledge' | 'probe-for-me' | 'probed-for-you' | 'join' | 'members' | 'news';
-
 type Handler = (message: MemberMessage, sender: Member) => void;
 
-/** What a listener is told when the set of members has changed. */
+/** What a listener is told. `replaced`: a newer daemon has this one's name. */
 export interface MembershipEvent {
   readonly kind: 'members-changed' | 'replaced' | 'news';
   readonly member: Member;
 }
 
+const GONE: readonly MemberState[] = ['dead', 'leaving'];
+
 export default class Membership {
   private readonly table = new MemberTable();
 
@@ -55,36 +53,37 @@
 
   private readonly channel = new EventChannel<MembershipEvent>();
 
-  private readonly waiting = new Map<number, () => void>();
+  private readonly reachability: ReachabilityTable;
 
-  private readonly suspicions = new Map<string, () => void>();
-
-  /** Members that others reach but this daemon does not. */
-  private readonly unreachable = new Set<string>();
+  private readonly messenger: MemberMessenger;
 
-  /** Members that say that they do not hear this daemon. */
-  private readonly deafTo = new Set<string>();
+  private readonly prober: MemberProber;
 
-  private probeOrder: string[] = [];
+  /** Ends the wait before a suspect member is taken to be dead. */
+  private readonly suspicions = new Map<string, () => void>();
 
-  private sequence = 0;
+  /** Monotonic time at which a member was seen to be dead or leaving. */
+  private readonly goneSince = new Map<string, number>();
 
   private self: Member;
 
   private lastHeard: number;
 
   private readonly handlers: Readonly<Record<MessageKind, Handler>> = {
-    ping: (message, sender) => this.reply(sender, 'acknowledge', message.sequence),
-    acknowledge: (message) => this.settle(message.sequence),
-    'probe-for-me': (message, sender) => this.probeFor(message, sender),
-    'probed-for-you': (message) => this.settle(message.sequence),
-    join: (_, sender) => this.sendAllMembers(sender),
+    ping: (message, sender) => this.messenger.sendTo(sender, 'acknowledge', message.sequence),
+    acknowledge: (message) => this.prober.settle(message.sequence),
+    'probe-for-me': (message, sender) =>
+      this.prober.probeFor(message.subjectAddress, () =>
+        this.messenger.sendTo(sender, 'probed-for-you', message.sequence),
+      ),
+    'probed-for-you': (message) => this.prober.settle(message.sequence),
+    join: (_, sender) => this.welcome(sender),
     members: () => {},
     news: (_, sender) => this.channel.publish({ kind: 'news', member: sender }),
   };
 
   constructor(private readonly options: MembershipOptions) {
-    const { clock, self } = options;
+    const { clock, counters, logger, self, transport } = options;
     this.self = {
       host: self,
       version: clock.wallNow(),
@@ -94,22 +93,38 @@
     };
     this.lastHeard = clock.now();
     this.table.merge(this.self);
-    options.transport.listen((message) => this.receive(message));
+    this.reachability = new ReachabilityTable(counters, logger);
+    this.messenger = new MemberMessenger({
+      transport,
+      queue: this.queue,
+      counters,
+      self: () => this.self,
+      memberCount: () => this.table.size,
+      isDeafTo: (name) => this.reachability.isUnreached(name),
+    });
+    this.prober = new MemberProber({
+      ...options,
+      messenger: this.messenger,
+      others: () => this.others(),
+      isIsolated: () => this.isIsolated,
+      onResult: (member, result) => this.noteProbe(member, result),
+    });
+    transport.listen((message) => this.receive(message));
   }
 
   /** Joins the fleet and probes until the returned function is called. */
   public start(): Stop {
-    const { clock, logger } = this.options;
+    const { clock, random, logger } = this.options;
     const fail = (error: unknown) => logger.warn('membership-failed', { error: String(error) });
     this.join();
     const stopProbing = startTask(
-      (signal) => repeatUntilAborted(signal, () => this.probeOnce(signal)),
+      (signal) => repeatUntilAborted(signal, () => this.prober.probeOnce(signal)),
       fail,
     );
     const stopRejoining = startTask(
       (signal) =>
         repeatUntilAborted(signal, async () => {
-          await clock.sleep(this.spread(REJOIN_PERIOD_MILLISECONDS), signal);
+          await clock.sleep(REJOIN_PERIOD_MILLISECONDS * (0.9 + 0.2 * random.unit()), signal);
           if (!signal.aborted) this.rejoinOne();
         }),
       fail,
@@ -132,7 +147,7 @@
 
   /** The members that may be given new work. */
   public serving(): readonly Member[] {
-    return this.table.all().filter(({ state }) => state === 'alive' || state === 'suspect');
+    return this.table.all().filter(({ state }) => !GONE.includes(state));
   }
 
   /** The member of that incarnation, if it is known and not dead. */
@@ -144,14 +159,13 @@
 
   /** Whether this daemon and the member hear one another, as far as is known. */
   public isReachable(name: string): boolean {
-    return !this.unreachable.has(name) && !this.deafTo.has(name);
+    return this.reachability.isReachable(name);
   }
 
   /** Whether this daemon has heard from nobody for so long that it must doubt itself. */
   public get isIsolated(): boolean {
-    const others = this.serving().filter((member) => member.host.name !== this.self.host.name);
     const silence = this.options.clock.now() - this.lastHeard;
-    return others.length > 0 && silence > SILENCE_MILLISECONDS;
+    return silence > SILENCE_MILLISECONDS && this.others().length > 0;
   }
 
   /** Tells the members of this daemon's configuration and load with the next messages. */
@@ -162,13 +176,13 @@
     if (!hasNews) return;
     shuffle(this.options.random, this.others())
       .slice(0, NEWS_FANOUT)
-      .forEach((member) => this.send(member.host.heartbeatAddress, 'news', 0));
+      .forEach((member) => this.messenger.sendTo(member, 'news'));
   }
 
   /** Tells everybody that this daemon leaves: it takes no new work from now on. */
   public announceLeaving(): void {
     this.restate('leaving');
-    this.others().forEach((member) => this.send(member.host.heartbeatAddress, 'news', 0));
+    this.others().forEach((member) => this.messenger.sendTo(member, 'news'));
   }
 
   private others(): readonly Member[] {
@@ -179,109 +193,38 @@
     this.options
       .seeds()
       .filter((address) => address !== this.self.host.heartbeatAddress)
-      .forEach((address) => this.send(address, 'join', 0));
+      .forEach((address) => this.messenger.send({ kind: 'join', address }));
   }
 
+  /** Tries one seed or dead member that is not among the living: a partition may have healed. */
   private rejoinOne(): void {
-    const { random, seeds, clock } = this.options;
-    this.forgetOld(clock.wallNow());
-    const lost = this.table
-      .all()
-      .filter((member) => member.state === 'dead')
-      .map((member) => member.host.heartbeatAddress);
+    this.forgetGone();
+    const dead = this.table.all().filter(({ state }) => state === 'dead');
     const known = new Set(this.others().map((member) => member.host.heartbeatAddress));
-    const candidates = [...seeds(), ...lost].filter(
-      (address) => address !== this.self.host.heartbeatAddress && !known.has(address),
-    );
-    const chosen = pickOne(random, candidates);
-    if (chosen !== undefined) this.send(chosen, 'join', 0);
-  }
-
-  private forgetOld(wallNow: number): void {
-    this.table
-      .all()
-      .filter(({ state, version }) => state === 'dead' && wallNow - version > FORGET_MILLISECONDS)
-      .forEach((member) => this.table.remove(member.host.name));
-  }
-
-  private async probeOnce(signal: AbortSignal): Promise<void> {
-    const { clock } = this.options;
-    const started = clock.now();
-    const member = this.nextToProbe();
-    if (member !== undefined) await this.probe(member, signal);
-    const rest = this.spread(PROBE_PERIOD_MILLISECONDS) - (clock.now() - started);
-    await clock.sleep(Math.max(0, rest), signal);
-  }
-
-  private async probe(member: Member, signal: AbortSignal): Promise<void> {
-    const { clock, counters } = this.options;
-    const started = clock.now();
-    if (await this.probeDirectly(member, signal)) {
-      this.markReachable(member, true);
-      return;
-    }
-    counters.add('heartbeats', 'no-direct-answer');
-    const isAnswered = await this.probeIndirectly(member, signal);
-    if (signal.aborted) return;
-    const expected = PROBE_PERIOD_MILLISECONDS - DIRECT_WAIT_MILLISECONDS;
-    const isLate = clock.now() - started > expected + LATENESS_MILLISECONDS;
-    if (isAnswered) this.markReachable(member, false);
-    else if (isLate || this.isIsolated) counters.add('heartbeats', 'doubted-itself');
-    else this.suspect(member);
-  }
-
-  private probeDirectly(member: Member, signal: AbortSignal): Promise<boolean> {
-    const sequence = this.nextSequence();
-    const answer = this.waitFor(sequence, DIRECT_WAIT_MILLISECONDS, signal);
-    this.send(member.host.heartbeatAddress, 'ping', sequence, member);
-    return answer;
-  }
-
-  private probeIndirectly(member: Member, signal: AbortSignal): Promise<boolean> {
-    const helpers = shuffle(
-      this.options.random,
-      this.others().filter((other) => other.host.name !== member.host.name),
-    ).slice(0, INDIRECT_PROBES);
-    const sequence = this.nextSequence();
-    const answer = this.waitFor(sequence, DIRECT_WAIT_MILLISECONDS, signal);
-    helpers.forEach((helper) => {
-      this.send(helper.host.heartbeatAddress, 'probe-for-me', sequence, member);
+    known.add(this.self.host.heartbeatAddress);
+    const candidates = [
+      ...this.options.seeds(),
+      ...dead.map((member) => member.host.heartbeatAddress),
+    ].filter((address) => !known.has(address));
+    const address = pickOne(this.options.random, [...new Set(candidates)]);
+    if (address !== undefined) this.messenger.send({ kind: 'join', address });
+  }
+
+  private forgetGone(): void {
+    const now = this.options.clock.now();
+    this.goneSince.forEach((since, name) => {
+      if (now - since < FORGET_MILLISECONDS) return;
+      this.goneSince.delete(name);
+      this.table.remove(name);
     });
-    return answer;
-  }
-
-  private probeFor(message: MemberMessage, sender: Member): void {
-    const sequence = this.nextSequence();
-    this.waiting.set(sequence, () => this.reply(sender, 'probed-for-you', message.sequence));
-    this.options.clock.after(DIRECT_WAIT_MILLISECONDS, () => this.waiting.delete(sequence));
-    this.send(message.subjectAddress, 'ping', sequence);
-  }
-
-  private waitFor(sequence: number, milliseconds: number, signal: AbortSignal): Promise<boolean> {
-    return new Promise((resolve) => {
-      const finish = (isAnswered: boolean) => {
-        this.waiting.delete(sequence);
-        resolve(isAnswered);
-      };
-      this.waiting.set(sequence, () => finish(true));
-      this.options.clock.sleep(milliseconds, signal).then(() => finish(false));
-    });
-  }
-
-  private settle(sequence: number): void {
-    this.waiting.get(sequence)?.();
-    this.waiting.delete(sequence);
   }
 
-  private nextToProbe(): Member | undefined {
-    const probed = this.others();
-    const byName = new Map(probed.map((member) => [member.host.name, member]));
-    this.probeOrder = this.probeOrder.filter((name) => byName.has(name));
-    if (this.probeOrder.length === 0) {
-      this.probeOrder = shuffle(this.options.random, [...byName.keys()]);
-    }
-    const name = this.probeOrder.shift();
-    return name === undefined ? undefined : byName.get(name);
+  /** Tells a newcomer of all members, and what is held of itself, so that it can object. */
+  private welcome(sender: Member): void {
+    const members = this.table
+      .all()
+      .filter(({ state, host }) => state !== 'dead' || host.name === sender.host.name);
+    this.messenger.sendMembers(sender.host.heartbeatAddress, members);
   }
 
   private receive(message: MemberMessage): void {
@@ -290,23 +233,15 @@
       this.options.counters.add('heartbeat_errors', 'unknown-message');
       return;
     }
-    if (sender.host.name !== this.self.host.name) this.lastHeard = this.options.clock.now();
-    this.hear(sender, message.hearsNot);
-    message.updates
-      .map(fromUpdate)
-      .filter((update): update is Member => update !== undefined)
-      .forEach((update) => this.mergeStatement(update));
-    this.handlers[message.kind as MessageKind](message, sender);
-  }
-
-  private hear(sender: Member, hearsNot: boolean): void {
-    this.mergeStatement(sender);
     const { name } = sender.host;
-    if (hearsNot && !this.deafTo.has(name)) {
-      this.deafTo.add(name);
-      this.options.logger.warn('not-heard-by', { member: name });
-      this.options.counters.add('one_way_faults', 'not-heard');
-    } else if (!hearsNot) this.deafTo.delete(name);
+    if (name !== this.self.host.name) {
+      this.lastHeard = this.options.clock.now();
+      this.reachability.noteStatement(name, message.hearsNot);
+    }
+    [sender, ...message.updates.map(fromUpdate)].forEach((update) => {
+      if (update !== undefined) this.mergeStatement(update);
+    });
+    this.handlers[message.kind as MessageKind](message, sender);
   }
 
   private mergeStatement(update: Member): void {
@@ -321,19 +256,17 @@
 
   /** Answers what others say of this daemon: it alone states its own version. */
   private hearOfSelf(update: Member): void {
-    const isOther = update.host.incarnation !== this.self.host.incarnation;
-    if (
-      isOther &&
-      update.state !== 'dead' &&
-      update.host.incarnation > this.self.host.incarnation
-    ) {
+    const { host, state, version } = this.self;
+    const isOther = update.host.incarnation !== host.incarnation;
+    if (isOther && update.state !== 'dead' && update.host.incarnation > host.incarnation) {
       this.channel.publish({ kind: 'replaced', member: update });
       return;
     }
-    const isAgainst = isOther || update.state !== this.self.state;
-    if (!isAgainst || update.version < this.self.version) return;
+    const isAgainst = isOther || update.state !== state;
+    if (!isAgainst || update.version < version) return;
+    this.options.counters.add('members', 'objected');
     this.self = { ...this.self, version: update.version };
-    this.restate(this.self.state);
+    this.restate(state);
   }
 
   private restate(state: MemberState): void {
@@ -343,20 +276,31 @@
   }
 
   private noteChange(before: Member | undefined, member: Member): void {
-    const { name } = member.host;
+    const { name, incarnation } = member.host;
     this.queue.push(member);
     this.suspicions.get(name)?.();
     this.suspicions.delete(name);
     if (member.state === 'suspect') this.awaitDeath(member);
-    const isSame =
-      before?.state === member.state && before.host.incarnation === member.host.incarnation;
-    if (isSame) return;
+    if (before?.state === member.state && before.host.incarnation === incarnation) return;
+    if (GONE.includes(member.state)) this.noteGone(name);
+    else this.goneSince.delete(name);
     this.options.counters.add('members', member.state);
     this.options.logger.info('member', { member: name, state: member.state });
-    if (member.state === 'dead') this.unreachable.delete(name);
     this.channel.publish({ kind: 'members-changed', member });
   }
 
+  private noteGone(name: string): void {
+    this.goneSince.set(name, this.options.clock.now());
+    this.reachability.forget(name);
+  }
+
+  private noteProbe(member: Member, result: ProbeResult): void {
+    if (result === 'silent') this.suspect(member);
+    if (result !== 'direct' && result !== 'indirect') return;
+    const isChange = this.reachability.noteProbe(member.host.name, result === 'direct');
+    if (isChange) this.channel.publish({ kind: 'members-changed', member });
+  }
+
   private suspect(member: Member): void {
     const current = this.table.get(member.host.name);
     if (current?.state !== 'alive' || current.version !== member.version) return;
@@ -374,61 +318,4 @@
     });
     this.suspicions.set(member.host.name, cancel);
   }
-
-  private markReachable(member: Member, isReachable: boolean): void {
-    const { name } = member.host;
-    const isChanged = this.unreachable.has(name) === isReachable;
-    if (!isChanged) return;
-    if (isReachable) this.unreachable.delete(name);
-    else this.unreachable.add(name);
-    this.options.counters.add('one_way_faults', isReachable ? 'healed' : 'not-reached');
-    this.options.logger.warn('direct-path', { member: name, isReachable });
-    this.channel.publish({ kind: 'members-changed', member });
-  }
-
-  private sendAllMembers(to: Member): void {
-    const members = this.table.all().filter((member) => member.state !== 'dead');
-    const messages = Math.ceil(members.length / UPDATES_PER_MESSAGE);
-    Array.from({ length: messages }, (_, index) =>
-      members.slice(index * UPDATES_PER_MESSAGE, (index + 1) * UPDATES_PER_MESSAGE),
-    ).forEach((updates) => this.sendUpdates(to.host.heartbeatAddress, updates));
-  }
-
-  private sendUpdates(address: string, updates: readonly Member[]): void {
-    const message = create(MemberMessageSchema, {
-      kind: 'members',
-      sender: toUpdate(this.self),
-      updates: updates.map(toUpdate),
-    });
-    this.options.transport.send(address, message);
-  }
-
-  private reply(to: Member, kind: MessageKind, sequence: number): void {
-    this.send(to.host.heartbeatAddress, kind, sequence, to);
-  }
-
-  private send(address: string, kind: MessageKind, sequence: number, about?: Member): void {
-    const updates = this.queue.take(UPDATES_PER_MESSAGE, this.table.size);
-    const message = create(MemberMessageSchema, {
-      kind,
-      sequence,
-      sender: toUpdate(this.self),
-      subject: about?.host.name ?? '',
-      subjectAddress: about?.host.heartbeatAddress ?? '',
-      updates: updates.map(toUpdate),
-      hearsNot: about !== undefined && this.unreachable.has(about.host.name),
-    });
-    this.options.counters.add('heartbeats', kind);
-    this.options.transport.send(address, message);
-  }
-
-  private nextSequence(): number {
-    this.sequence = (this.sequence + 1) % 2 ** 31;
-    return this.sequence;
-  }
-
-  /** The duration with a tenth of it up or down, so that daemons do not act in step. */
-  private spread(milliseconds: number): number {
-    return milliseconds * (0.9 + 0.2 * this.options.random.unit());
-  }
 }
--- a/packages/requests/src/ShardKeeper.ts
+++ b/packages/requests/src/ShardKeeper.ts
@@ -181,6 +181,11 @@
     });
   }
 
+  /** A target stands better now: those who wait may go. */
+  public wake(): void {
+    this.queue.serve();
+  }
+
   /** The shard belongs to another keeper now: whoever waits is sent there. */
   public giveUp(): void {
     this.queue.refuseAll('keeper-changed');
