Weigh requests that still run by the chance of lasting that long

Change: running and cancelled requests count by the ratio of survival chances. Swift steers at 6 in place of 4.6, balanced at 7.5 in place of 6.9, for the evidence is stronger now.

--- a/packages/health/src/CautionLevels.ts
+++ b/packages/health/src/CautionLevels.ts
@@ -13,7 +13,7 @@
 }
 
 export const CAUTION_LEVELS: Readonly<Record<EjectionCaution, CautionLevel>> = {
-  swift: { steerScore: 4.6, ejectScore: 8 },
-  balanced: { steerScore: 6.9, ejectScore: 12 },
+  swift: { steerScore: 6, ejectScore: 10 },
+  balanced: { steerScore: 7.5, ejectScore: 13 },
   careful: { steerScore: 9.2, ejectScore: 16 },
 };
--- a/packages/health/src/ShardHealth.ts
+++ b/packages/health/src/ShardHealth.ts
@@ -15,7 +15,13 @@
 } from '@cactusrun/core';
 import type { CautionLevel } from './CautionLevels.js';
 import { CAUTION_LEVELS } from './CautionLevels.js';
-import { durationRatio, failureRatio, OVERDUE_FACTOR, TIMEOUT_RATIO } from './evidence.js';
+import {
+  durationRatio,
+  failureRatio,
+  OVERDUE_FACTOR,
+  survivalRatio,
+  TIMEOUT_RATIO,
+} from './evidence.js';
 import FadingQuantile from './FadingQuantile.js';
 import medianOf from './medianOf.js';
 import PeerBaseline from './PeerBaseline.js';
@@ -260,7 +266,7 @@
     const due = request.startedAt + factor * this.baseline.peerMilliseconds(name);
     request.cancelWatch = clock.after(Math.max(1, due - clock.now()), () => {
       const elapsed = clock.now() - request.startedAt;
-      const ratio = durationRatio(elapsed, this.baseline.peerMilliseconds(name));
+      const ratio = survivalRatio(elapsed, this.baseline.peerMilliseconds(name));
       this.addEvidence(request, weighSilence(request, ratio));
       this.baseline.noteOverdue(name, elapsed);
       this.review(request.record);
--- a/packages/health/src/evidence.ts
+++ b/packages/health/src/evidence.ts
@@ -15,8 +15,17 @@
 }
 
 /**
- * Evidence of a duration, finished or still running: exponential durations whose mean is either
- * that of the peers or `SLOW_FACTOR` times as long.
+ * Evidence of a request that still runs, or was cancelled, after a time: the ratio of the chances
+ * of lasting at least that long.
+ */
+export function survivalRatio(milliseconds: number, peerMilliseconds: number): number {
+  const relative = milliseconds / Math.max(peerMilliseconds, Number.MIN_VALUE);
+  return clamp(relative * (1 - 1 / SLOW_FACTOR));
+}
+
+/**
+ * Evidence of a duration that has ended: exponential durations whose mean is either that of the
+ * peers or `SLOW_FACTOR` times as long.
  */
 export function durationRatio(milliseconds: number, peerMilliseconds: number): number {
   const relative = milliseconds / Math.max(peerMilliseconds, Number.MIN_VALUE);
