Prove the outcomes of requests in a table of faults

Cause: at most once, 'not run' and whole answers were claimed and not shown under faults.

The table found that a request whose every target refused waited out its deadline in the queue; it is refused now.

--- a/packages/daemon/src/ShardRouter.ts
+++ b/packages/daemon/src/ShardRouter.ts
@@ -7,7 +7,6 @@
 import type { Shard } from '@cactusrun/placement';
 import type { Attempt, AttemptResult, ShardLoad } from '@cactusrun/requests';
 import { refusal } from '@cactusrun/requests';
-import type KeeperGateway from './KeeperGateway.js';
 import type ShardRegistry from './ShardRegistry.js';
 
 /** What a shard told is used for this long. */
@@ -42,9 +41,14 @@
   readonly at: number;
 }
 
+/** Reaches the keeper of a shard; gRPC stands behind it in the daemon, fakes in tests. */
+export interface KeeperCaller {
+  attempt(keeper: Host, attempt: Attempt): Promise<AttemptResult>;
+}
+
 export interface ShardRouterOptions {
   readonly registry: ShardRegistry;
-  readonly gateway: KeeperGateway;
+  readonly gateway: KeeperCaller;
   /** The serving member of that name, if this daemon can reach it. */
   readonly findHost: (name: string) => Host | undefined;
   /** Whether this daemon and that member hear one another, as far as is known. */
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/FakeFleet.ts
@@ -0,0 +1,379 @@
+/**
+ * Several daemons' data paths in one process, on a faked clock, with a fake network between them:
+ * the product's own handler, tickets, router, registry and keepers.
+ */
+import type { LogRecord } from '@cactusrun/configuration';
+import { ConfigurationStore, encodeRecord } from '@cactusrun/configuration';
+import type { Contract, Host } from '@cactusrun/core';
+import { Counters, createRandom, ManualClock, silentLogger } from '@cactusrun/core';
+import { EjectionShares } from '@cactusrun/health';
+import type { Scorer } from '@cactusrun/placement';
+import { createScorer, KeeperIndex } from '@cactusrun/placement';
+import type { Attempt, AttemptResult } from '@cactusrun/requests';
+import { CrashWatch, refusal, TicketIssuer, TicketLedger } from '@cactusrun/requests';
+import type { CallerAnswer, CallerRequest } from '../../CallerRequest.js';
+import { refused } from '../../CallerRequest.js';
+import RequestHandler from '../../RequestHandler.js';
+import ShardRegistry from '../../ShardRegistry.js';
+import ShardRouter from '../../ShardRouter.js';
+import TicketedRequests from '../../TicketedRequests.js';
+import FakeTargets, { IDENTITY } from './FakeTargets.js';
+
+const NETWORK_MILLISECONDS = 1;
+/** A silent connection is given up after this time. */
+const SILENCE_MILLISECONDS = 2_000;
+/** The deadline of the contract and the grace of the forwarder. */
+const FORWARD_MILLISECONDS = 5_500;
+const STEP_MILLISECONDS = 25;
+const ZONES = ['west-a', 'west-b'];
+
+export interface FakeNode {
+  readonly host: Host;
+  readonly counters: Counters;
+  readonly store: ConfigurationStore;
+  readonly registry: ShardRegistry;
+  readonly handler: RequestHandler;
+  readonly tickets: TicketedRequests;
+  readonly ledger: TicketLedger;
+  readonly index: KeeperIndex;
+  isAlive: boolean;
+  isIsolated: boolean;
+  /** Settles when the node goes on after a pause. */
+  resumed: Promise<void>;
+}
+
+export interface SentRequest {
+  readonly node: number;
+  readonly kind: 'lookup' | 'order' | 'deposit';
+  readonly identity: string;
+  readonly ticket?: string;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+  readonly callerZone?: string;
+  readonly limitMilliseconds?: number;
+}
+
+export interface Told {
+  readonly outcome: string;
+  readonly reason: string;
+  readonly text: string;
+}
+
+const PATHS = { lookup: '/stock/1', order: '/orders', deposit: '/deposits' } as const;
+
+export function fakeContract(patch: Partial<Contract> = {}): Contract {
+  const route = { host: '*', methods: [], priority: 'normal' as const, isDeposit: false };
+  return {
+    service: 'workshop',
+    workspace: 'default',
+    region: 'west',
+    slotsPerTarget: 2,
+    connectionsPerSlot: 1,
+    depositsPerOrderWindow: 10,
+    orderWindowMilliseconds: 60_000,
+    floorPercent: 50,
+    deadlineMilliseconds: 5_000,
+    retryBudgetPercent: 20,
+    caution: 'balanced',
+    targets: Array.from({ length: 4 }, (_, index) => ({
+      name: `t${index}`,
+      address: `127.0.1.${index + 1}:9000`,
+      zone: ZONES[index % 2]!,
+    })),
+    routes: [
+      { ...route, pathPrefix: '/stock', requestClass: 'idempotent' },
+      { ...route, pathPrefix: '/orders', requestClass: 'non-idempotent' },
+      { ...route, pathPrefix: '/deposits', requestClass: 'non-idempotent', isDeposit: true },
+    ],
+    ...patch,
+  };
+}
+
+export default class FakeFleet {
+  public readonly clock = new ManualClock();
+
+  public readonly targets = new FakeTargets(this.clock);
+
+  public readonly nodes: FakeNode[] = [];
+
+  /** One-way silence, as `from>to` by host name. */
+  public readonly silent = new Set<string>();
+
+  /** Calls that a node's death ends. */
+  private readonly underWay = new Map<string, Set<() => void>>();
+
+  private constructor(
+    private readonly scorer: Scorer,
+    private readonly contract: Contract,
+    private readonly seed: number,
+  ) {}
+
+  public static async create(
+    count: number,
+    seed: number,
+    contract: Contract = fakeContract(),
+  ): Promise<FakeFleet> {
+    const fleet = new FakeFleet(await createScorer(), contract, seed);
+    Array.from({ length: count }, (_, index) => fleet.addNode(index, 1));
+    fleet.refreshViews();
+    fleet.nodes.forEach((node) => fleet.configure(node));
+    await fleet.clock.advance(10);
+    return fleet;
+  }
+
+  /** Brings every node's view of the members up to date. */
+  public refreshViews(nodes: readonly FakeNode[] = this.nodes): void {
+    const serving = this.nodes.filter(({ isAlive }) => isAlive).map(({ host }) => host);
+    nodes.forEach((node) => {
+      node.index.setMembers(serving);
+      node.registry.refresh();
+    });
+  }
+
+  public kill(index: number): void {
+    const node = this.nodes[index]!;
+    node.isAlive = false;
+    this.underWay.get(node.host.name)?.forEach((end) => end());
+  }
+
+  /** Another daemon takes the name and the place of a dead one. */
+  public replace(index: number): void {
+    this.addNode(index, 2);
+    this.configure(this.nodes[index]!);
+    this.refreshViews();
+  }
+
+  /** The node neither hears nor acts until the returned function is called. */
+  public pause(index: number): () => void {
+    let resume: () => void = () => {};
+    this.nodes[index]!.resumed = new Promise((resolve) => {
+      resume = resolve;
+    });
+    return resume;
+  }
+
+  public keeperOf(target: string): number {
+    const shard = this.nodes[0]!.registry.shardsOf('workshop').find((candidate) =>
+      candidate.targets.some(({ name }) => name === target),
+    );
+    const name = shard === undefined ? '' : this.nodes[0]!.registry.keeperOf(shard);
+    return this.nodes.findIndex(({ host }) => host.name === name);
+  }
+
+  public issueTicket(index: number): string {
+    return this.nodes[index]!.tickets.issue();
+  }
+
+  /** Sends a request as the entry server would and reads the whole answer. */
+  public async send(sent: SentRequest): Promise<Told> {
+    const node = this.nodes[sent.node]!;
+    if (!node.isAlive) return { outcome: 'no-connection', reason: '', text: '' };
+    const request: CallerRequest = {
+      method: sent.kind === 'lookup' ? 'GET' : 'POST',
+      path: PATHS[sent.kind],
+      headers: [[IDENTITY, sent.identity]],
+      body: { head: Buffer.from(sent.body ?? 'shade'), isWhole: true },
+      workspace: 'default',
+      caller: 'caller',
+      callerZone: sent.callerZone ?? node.host.zone,
+      ticket: sent.ticket,
+      limitMilliseconds: sent.limitMilliseconds,
+      signal: sent.signal ?? new AbortController().signal,
+      isForwarded: false,
+    };
+    const answer = await this.untilDeath(node, async () => {
+      await node.resumed;
+      return node.handler.handle(request);
+    });
+    return answer === undefined
+      ? { outcome: 'no-connection', reason: '', text: '' }
+      : this.read(node, answer);
+  }
+
+  /** Lets time pass until the promise settles. */
+  public async settle<Value>(promise: Promise<Value>, limitMilliseconds = 20_000): Promise<Value> {
+    let isSettled = false;
+    promise.finally(() => {
+      isSettled = true;
+    });
+    const end = this.clock.now() + limitMilliseconds;
+    while (!isSettled && this.clock.now() < end) {
+      // eslint-disable-next-line no-await-in-loop
+      await this.clock.advance(STEP_MILLISECONDS);
+    }
+    if (!isSettled) throw new Error(`not settled after ${limitMilliseconds} ms`);
+    return promise;
+  }
+
+  private async read(node: FakeNode, answer: CallerAnswer): Promise<Told> {
+    if (answer.kind === 'refused') return { outcome: 'refused', reason: answer.reason, text: '' };
+    try {
+      const chunks = await answer.body.toArray();
+      const text = Buffer.concat(chunks).toString();
+      return { outcome: node.isAlive ? 'answered' : 'no-connection', reason: '', text };
+    } catch {
+      return { outcome: 'cut', reason: '', text: '' };
+    }
+  }
+
+  private configure(node: FakeNode): void {
+    const record: LogRecord = {
+      kind: 'change',
+      identity: 'contract',
+      author: 'test',
+      baseRevision: -1,
+      operations: [{ kind: 'create-contract', contract: this.contract }],
+    };
+    node.store.markCaughtUp();
+    node.store.apply([{ offset: 0, timestamp: 0, data: encodeRecord(record) }]);
+    node.registry.refresh();
+  }
+
+  private addNode(index: number, generation: number): void {
+    const { clock } = this;
+    const zone = ZONES[index % ZONES.length]!;
+    const host: Host = {
+      name: `host-${index}`,
+      incarnation: `${generation}-host-${index}`,
+      zone,
+      region: 'west',
+      callerAddress: '',
+      peerAddress: '',
+      heartbeatAddress: '',
+    };
+    const counters = new Counters();
+    const random = createRandom(this.seed * 100 + index);
+    const store = new ConfigurationStore(counters, clock);
+    const memberIndex = new KeeperIndex(this.scorer);
+    const shares = new EjectionShares({
+      holder: host.incarnation,
+      log: {
+        claim: async () => {},
+        renew: async () => 0,
+        giveBack: async () => {},
+        view: () => undefined,
+        appliedOffset: () => 0,
+      },
+      clock,
+      counters,
+      logger: silentLogger,
+    });
+    const crashes = new CrashWatch(clock, counters, (fingerprint, count) => {
+      this.nodes
+        .filter((node) => node.host.name !== host.name)
+        .forEach((node) => this.crashWatches.get(node.host.name)?.learn(fingerprint, count));
+    });
+    this.crashWatches.set(host.name, crashes);
+    const node: FakeNode = {
+      host,
+      counters,
+      store,
+      index: memberIndex,
+      ledger: new TicketLedger(clock, counters),
+      isAlive: true,
+      isIsolated: false,
+      resumed: Promise.resolve(),
+    } as unknown as FakeNode;
+    const registry = new ShardRegistry({
+      self: host.name,
+      scorer: this.scorer,
+      index: memberIndex,
+      store,
+      connector: this.targets,
+      crashes,
+      shares,
+      clock,
+      random,
+      counters,
+      logger: silentLogger,
+      isLeavingAddress: () => false,
+      noteDraining: () => {},
+      isDoubtful: () => node.isIsolated,
+      handOver: () => {},
+    });
+    const router = new ShardRouter({
+      registry,
+      gateway: {
+        attempt: (keeper: Host, attempt: Attempt) => this.attempt(node, keeper, attempt),
+      },
+      findHost: (name) => this.nodes.find((other) => other.host.name === name)?.host,
+      isReachable: () => true,
+      clock,
+      random,
+      counters,
+    });
+    const tickets = new TicketedRequests({
+      issuer: new TicketIssuer(host.name, host.incarnation),
+      ledger: node.ledger,
+      self: host,
+      clock,
+      counters,
+      forward: (facts, request) => this.forward(node, facts.incarnation, facts.host, request),
+    });
+    const handler = new RequestHandler({ store, router, tickets, clock, counters });
+    this.nodes[index] = Object.assign(node, { registry, handler, tickets });
+  }
+
+  private readonly crashWatches = new Map<string, CrashWatch>();
+
+  private async attempt(from: FakeNode, keeper: Host, attempt: Attempt): Promise<AttemptResult> {
+    const to = this.nodes.find((node) => node.host.name === keeper.name);
+    if (to === undefined || !to.isAlive) return refusal('keeper-unreachable', keeper.name);
+    if (to === from) return from.registry.run(attempt);
+    const lost = refusal('keeper-lost', keeper.name);
+    const isDelivered = await this.travel(from, to);
+    if (!isDelivered) return lost;
+    const far = new AbortController();
+    const onAbort = () => far.abort();
+    attempt.signal.addEventListener('abort', onAbort, { once: true });
+    const result = await this.untilDeath(to, async () => {
+      await to.resumed;
+      return to.registry.run({ ...attempt, signal: far.signal });
+    });
+    attempt.signal.removeEventListener('abort', onAbort);
+    if (result === undefined || !(await this.travel(to, from))) return lost;
+    return result;
+  }
+
+  private async forward(
+    from: FakeNode,
+    incarnation: string,
+    name: string,
+    request: CallerRequest,
+  ): Promise<CallerAnswer> {
+    const to = this.nodes.find((node) => node.host.incarnation === incarnation);
+    if (to === undefined) return refused('owner-gone', name);
+    if (!to.isAlive || !(await this.travel(from, to))) return refused('owner-unreachable', name);
+    const limit = this.clock.sleep(FORWARD_MILLISECONDS).then(() => undefined);
+    const answer = await Promise.race([
+      limit,
+      this.untilDeath(to, async () => {
+        await to.resumed;
+        return to.handler.handle({ ...request, isForwarded: true });
+      }),
+    ]);
+    if (answer === undefined || !(await this.travel(to, from))) {
+      return refused('owner-unreachable', name);
+    }
+    return answer;
+  }
+
+  /** One way; false after a while when the way is silent. */
+  private async travel(from: FakeNode, to: FakeNode): Promise<boolean> {
+    const isSilent = this.silent.has(`${from.host.name}>${to.host.name}`);
+    await this.clock.sleep(isSilent ? SILENCE_MILLISECONDS : NETWORK_MILLISECONDS);
+    return !isSilent;
+  }
+
+  private untilDeath<Value>(node: FakeNode, run: () => Promise<Value>): Promise<Value | undefined> {
+    const ends = this.underWay.get(node.host.name) ?? new Set();
+    this.underWay.set(node.host.name, ends);
+    return new Promise((resolve, reject) => {
+      const end = () => resolve(undefined);
+      ends.add(end);
+      run()
+        .then(resolve, reject)
+        .finally(() => ends.delete(end));
+    });
+  }
+}
--- a/packages/requests/src/ShardKeeper.ts
+++ b/packages/requests/src/ShardKeeper.ts
@@ -224,7 +224,7 @@
       this.takeHedge(attempt, nowTried),
     );
     if (result.kind === 'answered') return { ...result, load: this.load() };
-    if (!this.mayRetry(attempt, result, nowTried.length)) {
+    if (!this.mayRetry(attempt, result, nowTried)) {
       const detail = 'detail' in result ? result.detail : grant.slots.target.name;
       return this.refuse(FAILURES[result.kind].reason, detail);
     }
@@ -232,13 +232,14 @@
     return this.tryTargets(attempt, nowTried);
   }
 
-  private mayRetry(attempt: Attempt, failure: Failure, attempts: number): boolean {
+  private mayRetry(attempt: Attempt, failure: Failure, tried: readonly string[]): boolean {
     const { clock, crashes } = this.options;
     const isSafe =
       FAILURES[failure.kind].retry === 'proved-not-run' || attempt.requestClass === 'idempotent';
     const isPossible =
       attempt.body.isWhole && !attempt.signal.aborted && clock.now() < attempt.deadline;
-    if (!isSafe || !isPossible || attempts >= MAXIMUM_ATTEMPTS) return false;
+    const hasOther = [...this.slots].some(([name, { size }]) => size > 0 && !tried.includes(name));
+    if (!isSafe || !isPossible || !hasOther || tried.length >= MAXIMUM_ATTEMPTS) return false;
     return !crashes.isHeld(attempt.fingerprint) && this.withdraw();
   }
 
