--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/FakeControlFleet.ts
@@ -0,0 +1,195 @@
+/**
+ * Several daemons' control parts in one process, on a faked clock: the product's own membership,
+ * configuration store, log follower, snapshot writer and synchronisation, over a fake network.
+ */
+import { ConfigurationStore } from '@cactusrun/configuration';
+import type { Host, Stop } from '@cactusrun/core';
+import { Counters, createRandom, ManualClock, mergeStops, silentLogger } from '@cactusrun/core';
+import type { MemberTransport } from '@cactusrun/membership';
+import { Membership } from '@cactusrun/membership';
+import { LogFollower, SnapshotWriter } from '@cactusrun/platform';
+import type { MemberMessage, SynchroniseRequest } from '@cactusrun/protocol';
+import type { ChangeAnswer } from '../../ChangeDesk.js';
+import ChangeDesk from '../../ChangeDesk.js';
+import ConfigurationSync from '../../ConfigurationSync.js';
+import type PeerClients from '../../PeerClients.js';
+import FakeLog from './FakeLog.js';
+
+const NETWORK_MILLISECONDS = 1;
+const RETENTION_MILLISECONDS = 120_000;
+const REFRESH_MILLISECONDS = 200;
+const CALL_MILLISECONDS = 1_000;
+const ZONES = ['west-a', 'west-b', 'east-a', 'east-b'];
+
+export interface ControlNode {
+  readonly host: Host;
+  readonly counters: Counters;
+  readonly store: ConfigurationStore;
+  readonly membership: Membership;
+  readonly sync: ConfigurationSync;
+  readonly desk: ChangeDesk;
+  readonly stop: Stop;
+  /** Every revision that the node reported, in order. */
+  readonly revisions: number[];
+}
+
+export default class FakeControlFleet {
+  public readonly clock = new ManualClock();
+
+  public readonly log = new FakeLog(this.clock);
+
+  public readonly nodes = new Map<number, ControlNode>();
+
+  /** Ways that are silent, by host name: `from>to`. */
+  public readonly silent = new Set<string>();
+
+  /** Hosts that neither send nor receive. */
+  public readonly paused = new Set<string>();
+
+  private readonly receivers = new Map<string, (message: MemberMessage) => void>();
+
+  private generation = 0;
+
+  constructor(private readonly seed: number) {}
+
+  public async start(count: number): Promise<void> {
+    Array.from({ length: count }, (_, index) => this.addNode(index));
+    await this.clock.advance(5_000);
+  }
+
+  /** Starts a daemon at that place; one that was there before is another incarnation. */
+  public addNode(index: number): ControlNode {
+    this.generation += 1;
+    const zone = ZONES[index % ZONES.length]!;
+    const host: Host = {
+      name: `host-${index}`,
+      incarnation: `${String(this.generation).padStart(4, '0')}-${index}`,
+      zone,
+      region: zone.split('-')[0]!,
+      callerAddress: `callers-${index}`,
+      peerAddress: `host-${index}`,
+      heartbeatAddress: `host-${index}`,
+    };
+    const node = this.createNode(host, index);
+    this.nodes.set(index, node);
+    return node;
+  }
+
+  public async kill(index: number): Promise<void> {
+    const node = this.nodes.get(index);
+    if (node === undefined) return;
+    this.nodes.delete(index);
+    this.receivers.delete(node.host.heartbeatAddress);
+    await this.settle(node.stop());
+  }
+
+  public async stop(): Promise<void> {
+    await Promise.all([...this.nodes.keys()].map((index) => this.kill(index)));
+  }
+
+  /** Cuts every way between the two groups, or only those from the first to the second. */
+  public part(left: readonly number[], right: readonly number[], isOneWay: boolean): void {
+    left.forEach((from) =>
+      right.forEach((to) => {
+        this.silent.add(`host-${from}>host-${to}`);
+        if (!isOneWay) this.silent.add(`host-${to}>host-${from}`);
+      }),
+    );
+  }
+
+  public async settle<Value>(promise: Promise<Value>, limitMilliseconds = 20_000): Promise<Value> {
+    let isSettled = false;
+    promise.finally(() => {
+      isSettled = true;
+    });
+    const end = this.clock.now() + limitMilliseconds;
+    while (!isSettled && this.clock.now() < end) {
+      // eslint-disable-next-line no-await-in-loop
+      await this.clock.advance(50);
+    }
+    return promise;
+  }
+
+  public change(index: number, identity: string, script: string): Promise<ChangeAnswer> {
+    const request = { identity, author: identity, script, isDryRun: false };
+    return this.nodes.get(index)!.desk.submit(request);
+  }
+
+  private createNode(host: Host, index: number): ControlNode {
+    const { clock } = this;
+    const counters = new Counters();
+    const random = createRandom(this.seed * 1_000 + this.generation);
+    const store = new ConfigurationStore(counters, clock);
+    const log = this.log.reachedFrom(host.name);
+    const shared = { store, clock, random, counters, logger: silentLogger };
+    const snapshots = new SnapshotWriter({
+      ...shared,
+      log,
+      retentionMilliseconds: RETENTION_MILLISECONDS,
+    });
+    const follower = new LogFollower({
+      ...shared,
+      log,
+      rebase: () => snapshots.write(store.current, true),
+    });
+    const membership = new Membership({
+      ...shared,
+      self: host,
+      seeds: () => ['host-0', 'host-1', 'host-2'],
+      transport: this.transportOf(host),
+    });
+    const clients = { to: (peer: Host) => this.clientTo(host, peer) } as unknown as PeerClients;
+    const sync = new ConfigurationSync({ ...shared, self: host, membership, clients });
+    const desk = new ChangeDesk({ ...shared, log });
+    const revisions: number[] = [];
+    let isRunning = true;
+    const refresh = () => {
+      if (!isRunning) return;
+      membership.tell({ configurationOffset: store.current.offset, loadPercent: 0 });
+      clock.after(REFRESH_MILLISECONDS, refresh);
+    };
+    store.listen((state) => {
+      revisions.push(state.revision);
+      membership.tell({ configurationOffset: state.offset, loadPercent: 0 });
+    });
+    const stop = mergeStops([
+      async () => {
+        isRunning = false;
+      },
+      membership.start(),
+      follower.start(),
+      snapshots.start(),
+      sync.start(),
+    ]);
+    refresh();
+    return { host, counters, store, membership, sync, desk, stop, revisions };
+  }
+
+  private isOpen(from: string, to: string): boolean {
+    return !this.silent.has(`${from}>${to}`) && !this.paused.has(from) && !this.paused.has(to);
+  }
+
+  private transportOf(host: Host): MemberTransport {
+    return {
+      send: (address, message) => {
+        this.clock.after(NETWORK_MILLISECONDS, () => {
+          if (this.isOpen(host.name, address)) this.receivers.get(address)?.(message);
+        });
+      },
+      listen: (listener) => this.receivers.set(host.heartbeatAddress, listener),
+    };
+  }
+
+  private clientTo(from: Host, to: Host) {
+    return {
+      synchronise: async (request: SynchroniseRequest) => {
+        await this.clock.sleep(NETWORK_MILLISECONDS);
+        const node = [...this.nodes.values()].find(({ host }) => host.name === to.name);
+        const isOpen = this.isOpen(from.name, to.name) && this.isOpen(to.name, from.name);
+        if (node !== undefined && isOpen) return node.sync.serve(request);
+        await this.clock.sleep(CALL_MILLISECONDS);
+        throw new Error('no answer');
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/controlFaults.test.ts
@@ -0,0 +1,293 @@
+import { describe, expect, it } from 'vitest';
+import type { ChangeAnswer } from '../../ChangeDesk.js';
+import FakeControlFleet from './FakeControlFleet.js';
+
+const HOSTS = 6;
+const FAULT_MILLISECONDS = 20_000;
+const HEALED_MILLISECONDS = 60_000;
+
+const CREATE = `CREATE CONTRACT stock { REGION west; SLOTS PER TARGET 2;
+  TARGET a AT 127.0.1.1:9000 IN west-a; ROUTE GET "/stock" idempotent; }`;
+const floor = (percent: number) => `CHANGE CONTRACT stock { FLOOR ${percent}%; }`;
+
+type Step = (fleet: FakeControlFleet) => Promise<void> | void;
+
+interface Fault {
+  readonly begin: Step;
+  readonly end: Step;
+}
+
+const PLATFORM_FAULTS: Readonly<Record<string, Fault>> = {
+  works: { begin: () => {}, end: () => {} },
+  'is slow': {
+    begin: ({ log }) => Object.assign(log, { delayMilliseconds: 800 }),
+    end: ({ log }) => Object.assign(log, { delayMilliseconds: 1 }),
+  },
+  'is down': {
+    begin: ({ log }) => Object.assign(log, { isDown: true }),
+    end: ({ log }) => Object.assign(log, { isDown: false }),
+  },
+  'loses replies': {
+    begin: ({ log }) => Object.assign(log, { losesReplies: true }),
+    end: ({ log }) => Object.assign(log, { losesReplies: false }),
+  },
+  'is down and comes back empty': {
+    begin: ({ log }) => Object.assign(log, { isDown: true }),
+    end: ({ log }) => {
+      log.dropAll();
+      Object.assign(log, { isDown: false });
+    },
+  },
+  'drops its records': {
+    begin: async (fleet) => {
+      await fleet.clock.advance(10_000);
+      fleet.log.dropAll();
+    },
+    end: () => {},
+  },
+  'is out of reach of half the hosts': {
+    begin: ({ log }) => [0, 2, 4].forEach((index) => log.cutOff.add(`host-${index}`)),
+    end: ({ log }) => log.cutOff.clear(),
+  },
+};
+
+async function replace(fleet: FakeControlFleet, index: number): Promise<void> {
+  await fleet.kill(index);
+  fleet.addNode(index);
+  await fleet.clock.advance(6_000);
+}
+
+const HOST_FAULTS: Readonly<Record<string, Fault>> = {
+  'all hosts stay': { begin: () => {}, end: () => {} },
+  'one host is replaced': { begin: (fleet) => replace(fleet, 3), end: () => {} },
+  'all hosts but one are replaced one by one': {
+    begin: (fleet) =>
+      [0, 2, 3, 4, 5].reduce<Promise<void>>(
+        (before, index) => before.then(() => replace(fleet, index)),
+        Promise.resolve(),
+      ),
+    end: () => {},
+  },
+  'a zone is lost': {
+    begin: async (fleet) => {
+      await fleet.kill(0);
+      await fleet.kill(4);
+    },
+    end: (fleet) => {
+      fleet.addNode(0);
+      fleet.addNode(4);
+    },
+  },
+  'the regions are parted': {
+    begin: (fleet) => fleet.part([0, 1, 4, 5], [2, 3], false),
+    end: ({ silent }) => silent.clear(),
+  },
+  'one side hears the other and is not heard': {
+    begin: (fleet) => fleet.part([0, 1, 4, 5], [2, 3], true),
+    end: ({ silent }) => silent.clear(),
+  },
+  'a host is paused and wakes': {
+    begin: ({ paused }) => {
+      paused.add('host-2');
+    },
+    end: ({ paused }) => paused.clear(),
+  },
+};
+
+const CASES = Object.keys(PLATFORM_FAULTS).flatMap((platform) =>
+  Object.keys(HOST_FAULTS).map((hosts) => ({ platform, hosts })),
+);
+
+function expectNeverReverted(fleet: FakeControlFleet): void {
+  fleet.nodes.forEach(({ revisions }) => {
+    const sorted = [...revisions].sort((left, right) => left - right);
+    expect(revisions).toEqual(sorted);
+  });
+}
+
+function expectAgreement(fleet: FakeControlFleet): void {
+  const states = [...fleet.nodes.values()].map(({ store }) => store.current);
+  const [first] = states;
+  states.forEach((state) => {
+    expect(state.revision).toBe(first!.revision);
+    expect(state.contracts).toEqual(first!.contracts);
+  });
+}
+
+function expectKept(fleet: FakeControlFleet, identity: string, answer: ChangeAnswer): void {
+  fleet.nodes.forEach(({ store }) => {
+    const verdict = store.current.remembered.get(identity)?.verdict;
+    if (answer.kind === 'accepted') expect(verdict).toMatchObject({ revision: answer.revision });
+    if (answer.kind === 'not-accepted') expect(verdict).toBeUndefined();
+  });
+}
+
+describe('configuration under faults', () => {
+  it.each(CASES)('the platform $platform while $hosts', async ({ platform, hosts }) => {
+    const fleet = new FakeControlFleet(1);
+    await fleet.start(HOSTS);
+    const created = await fleet.settle(fleet.change(1, 'create', CREATE));
+    expect(created.kind).toBe('accepted');
+    await fleet.clock.advance(2_000);
+
+    await PLATFORM_FAULTS[platform]!.begin(fleet);
+    await HOST_FAULTS[hosts]!.begin(fleet);
+    const base = fleet.nodes.get(1)!.store.current.revision;
+    const during = await fleet.settle(
+      Promise.all([
+        fleet.change(1, 'left', floor(50)),
+        fleet.nodes.has(3)
+          ? fleet.change(3, 'right', floor(60))
+          : fleet.change(5, 'right', floor(60)),
+      ]),
+    );
+    await fleet.clock.advance(FAULT_MILLISECONDS);
+    fleet.nodes.forEach(({ store }) => {
+      if (store.isReady) expect(store.current.contracts.has('stock')).toBe(true);
+    });
+    await PLATFORM_FAULTS[platform]!.end(fleet);
+    await HOST_FAULTS[hosts]!.end(fleet);
+    await fleet.clock.advance(HEALED_MILLISECONDS);
+
+    const accepted = during.filter(({ kind }) => kind === 'accepted');
+    expect(accepted.length).toBeLessThanOrEqual(1);
+    const refused = during.filter(
+      (answer) => answer.kind === 'refused' && answer.reason === 'conflict',
+    );
+    if (refused.length > 0) {
+      const [left, right] = during;
+      const winner = left?.kind === 'refused' ? 'right' : 'left';
+      expect(JSON.stringify(winner === 'right' ? left : right)).toContain(`change ${winner}`);
+    }
+    expectNeverReverted(fleet);
+    expectAgreement(fleet);
+    expectKept(fleet, 'create', created);
+    expectKept(fleet, 'left', during[0]!);
+    expectKept(fleet, 'right', during[1]!);
+
+    const after = await fleet.settle(fleet.change(1, 'after', floor(70)));
+    expect(after.kind).toBe('accepted');
+    await fleet.clock.advance(10_000);
+    expectAgreement(fleet);
+    fleet.nodes.forEach(({ store }) => {
+      expect(store.current.contracts.get('stock')?.floorPercent).toBe(70);
+      expect(store.current.revision).toBeGreaterThan(base);
+    });
+    await fleet.stop();
+  });
+
+  it('keeps a host that knows neither log nor peer from guessing', async () => {
+    const fleet = new FakeControlFleet(2);
+    fleet.log.isDown = true;
+    fleet.addNode(0);
+    await fleet.clock.advance(30_000);
+    expect(fleet.nodes.get(0)!.store.isReady).toBe(false);
+    fleet.log.isDown = false;
+    await fleet.clock.advance(10_000);
+    expect(fleet.nodes.get(0)!.store.isReady).toBe(true);
+    await fleet.kill(0);
+  });
+
+  it('tells clearly that a change is not accepted while the platform is away', async () => {
+    const fleet = new FakeControlFleet(3);
+    await fleet.start(3);
+    fleet.log.isDown = true;
+    const answer = await fleet.settle(fleet.change(0, 'x', CREATE));
+    expect(answer.kind).toBe('not-accepted');
+    await fleet.stop();
+  });
+
+  it('reaches hosts that cannot reach the log within seconds, over their peers', async () => {
+    const fleet = new FakeControlFleet(4);
+    await fleet.start(HOSTS);
+    [2, 3, 4, 5].forEach((index) => fleet.log.cutOff.add(`host-${index}`));
+    await fleet.settle(fleet.change(1, 'create', CREATE));
+    await fleet.clock.advance(3_000);
+    fleet.nodes.forEach(({ store }) => expect(store.current.contracts.has('stock')).toBe(true));
+    await fleet.stop();
+  });
+});
+
+describe('membership', () => {
+  const aliveNames = (fleet: FakeControlFleet, index: number) =>
+    fleet.nodes
+      .get(index)!
+      .membership.serving()
+      .map(({ host }) => host.name)
+      .sort();
+
+  it('finds every member, and one that is lost within ten seconds', async () => {
+    const fleet = new FakeControlFleet(5);
+    await fleet.start(8);
+    fleet.nodes.forEach((_, index) => expect(aliveNames(fleet, index)).toHaveLength(8));
+    await fleet.kill(5);
+    await fleet.clock.advance(10_000);
+    fleet.nodes.forEach((_, index) => expect(aliveNames(fleet, index)).not.toContain('host-5'));
+    await fleet.stop();
+  });
+
+  it('takes a host under an old name as a new member', async () => {
+    const fleet = new FakeControlFleet(6);
+    await fleet.start(4);
+    const before = fleet.nodes.get(2)!.host.incarnation;
+    await replace(fleet, 2);
+    fleet.nodes.forEach(({ membership }) => {
+      expect(membership.findIncarnation(before)).toBeUndefined();
+      expect(membership.findIncarnation(fleet.nodes.get(2)!.host.incarnation)).toBeDefined();
+    });
+    await fleet.stop();
+  });
+
+  it('finds a one-way fault from both sides, and declares nobody dead', async () => {
+    const fleet = new FakeControlFleet(7);
+    await fleet.start(5);
+    fleet.part([0], [1], true);
+    await fleet.clock.advance(30_000);
+    expect(fleet.nodes.get(0)!.membership.isReachable('host-1')).toBe(false);
+    expect(fleet.nodes.get(1)!.membership.isReachable('host-0')).toBe(false);
+    expect(fleet.nodes.get(2)!.membership.isReachable('host-0')).toBe(true);
+    fleet.nodes.forEach((_, index) => expect(aliveNames(fleet, index)).toHaveLength(5));
+    fleet.silent.clear();
+    await fleet.clock.advance(30_000);
+    expect(fleet.nodes.get(0)!.membership.isReachable('host-1')).toBe(true);
+    expect(fleet.nodes.get(1)!.membership.isReachable('host-0')).toBe(true);
+    await fleet.stop();
+  });
+
+  it('makes a host doubt itself when it hears nobody, and blame nobody', async () => {
+    const fleet = new FakeControlFleet(8);
+    await fleet.start(5);
+    fleet.paused.add('host-4');
+    await fleet.clock.advance(4_000);
+    const { membership } = fleet.nodes.get(4)!;
+    expect(membership.isIsolated).toBe(true);
+    await fleet.clock.advance(20_000);
+    expect(membership.serving()).toHaveLength(5);
+    fleet.paused.clear();
+    await fleet.clock.advance(15_000);
+    expect(membership.isIsolated).toBe(false);
+    fleet.nodes.forEach((_, index) => expect(aliveNames(fleet, index)).toHaveLength(5));
+    await fleet.stop();
+  });
+
+  it('is told of a leaving host at once', async () => {
+    const fleet = new FakeControlFleet(9);
+    await fleet.start(5);
+    fleet.nodes.get(1)!.membership.announceLeaving();
+    await fleet.clock.advance(50);
+    [0, 2, 3, 4].forEach((index) => expect(aliveNames(fleet, index)).not.toContain('host-1'));
+    await fleet.stop();
+  });
+
+  it('heals after regions were parted for minutes', async () => {
+    const fleet = new FakeControlFleet(10);
+    await fleet.start(8);
+    fleet.part([0, 1, 4, 5], [2, 3, 6, 7], false);
+    await fleet.clock.advance(120_000);
+    expect(aliveNames(fleet, 0)).toHaveLength(4);
+    fleet.silent.clear();
+    await fleet.clock.advance(30_000);
+    fleet.nodes.forEach((_, index) => expect(aliveNames(fleet, index)).toHaveLength(8));
+    await fleet.stop();
+  });
+});
