--- a/packages/configuration/src/__tests__/unit/foldEntry.test.ts
+++ b/packages/configuration/src/__tests__/unit/foldEntry.test.ts
@@ -101,9 +101,10 @@
 
     it('takes a repeated append once', () => {
       const record = changeRecord(sampleChange('same', 0, [setFloor('orders', 50)]));
-      const other = changeRecord(sampleChange('other', 1, [setFloor('orders', 60)]));
-      const state = foldAll([record, other, record], base);
+      const other = changeRecord(sampleChange('other', 2, [setFloor('orders', 60)]));
+      const state = foldAll([record, record, other, record], base);
       expect(state.contracts.get('orders')?.floorPercent).toBe(60);
+      expect(state.remembered.get('same')?.verdict).toEqual({ kind: 'accepted', revision: 1 });
     });
 
     it('refuses a base so old that its identity may be forgotten', () => {
--- a/packages/daemon/src/__tests__/unit/FakeControlFleet.ts
+++ b/packages/daemon/src/__tests__/unit/FakeControlFleet.ts
@@ -53,7 +53,7 @@
   constructor(private readonly seed: number) {}
 
   public async start(count: number): Promise<void> {
-    Array.from({ length: count }, (_, index) => this.addNode(index));
+    Array.from({ length: count }).forEach((_, index) => this.addNode(index));
     await this.clock.advance(5_000);
   }
 
--- a/packages/daemon/src/__tests__/unit/FakeLog.ts
+++ b/packages/daemon/src/__tests__/unit/FakeLog.ts
@@ -31,6 +31,12 @@
     return offset;
   }
 
+  /** Retention drops the records that are older. */
+  public expire(retentionMilliseconds: number): void {
+    const oldest = this.clock.wallNow() - retentionMilliseconds;
+    this.entries = this.entries.filter(({ timestamp }) => timestamp >= oldest);
+  }
+
   /** Retention drops every record. */
   public dropAll(): void {
     this.entries = [];
--- a/packages/daemon/src/__tests__/unit/controlFaults.test.ts
+++ b/packages/daemon/src/__tests__/unit/controlFaults.test.ts
@@ -176,6 +176,49 @@
     await fleet.stop();
   });
 
+  it('outlives the retention of its records and of every host that read them', async () => {
+    const fleet = new FakeControlFleet(11);
+    await fleet.start(3);
+    await fleet.settle(fleet.change(1, 'create', CREATE));
+    const passMinute = async () => {
+      await fleet.clock.advance(60_000);
+      fleet.log.expire(120_000);
+    };
+    await Array.from({ length: 6 }).reduce<Promise<void>>(
+      (before) => before.then(passMinute),
+      Promise.resolve(),
+    );
+    expect(fleet.log.entries.length).toBeGreaterThan(0);
+    expect(fleet.log.entries[0]!.offset).toBeGreaterThan(0);
+    await fleet.stop();
+    await fleet.start(3);
+    await fleet.clock.advance(10_000);
+    fleet.nodes.forEach(({ store }) => expect(store.current.contracts.has('stock')).toBe(true));
+    await fleet.stop();
+  });
+
+  it('goes on after the log lost records that nobody had read', async () => {
+    const fleet = new FakeControlFleet(12);
+    await fleet.start(3);
+    await fleet.settle(fleet.change(1, 'create', CREATE));
+    await fleet.clock.advance(2_000);
+    [0, 1, 2].forEach((index) => fleet.log.cutOff.add(`host-${index}`));
+    await fleet.clock.advance(6_000);
+    fleet.log.append('{"kind":"change","identity":"lost"}');
+    fleet.log.dropAll();
+    fleet.log.cutOff.clear();
+    await fleet.clock.advance(60_000);
+    const answer = await fleet.settle(fleet.change(1, 'after', floor(55)));
+    expect(answer.kind).toBe('accepted');
+    await fleet.clock.advance(10_000);
+    expectAgreement(fleet);
+    expectNeverReverted(fleet);
+    fleet.nodes.forEach(({ store }) =>
+      expect(store.current.contracts.get('stock')?.floorPercent).toBe(55),
+    );
+    await fleet.stop();
+  });
+
   it('keeps a host that knows neither log nor peer from guessing', async () => {
     const fleet = new FakeControlFleet(2);
     fleet.log.isDown = true;
@@ -263,6 +306,9 @@
     expect(membership.isIsolated).toBe(true);
     await fleet.clock.advance(20_000);
     expect(membership.serving()).toHaveLength(5);
+    const { counters } = fleet.nodes.get(4)!;
+    expect(counters.valueOf('probed_members', 'doubtful')).toBeGreaterThan(10);
+    expect(counters.valueOf('probed_members', 'silent')).toBeLessThanOrEqual(4);
     fleet.paused.clear();
     await fleet.clock.advance(15_000);
     expect(membership.isIsolated).toBe(false);
