Let only the daemon that a ticket names say that an order was not run

A daemon that was just replaced had no configuration: it told a re-sent order 'not run' without asking the daemon named by the ticket, and its directory answered 404, so that the caller of the test went on without a ticket and took a new one.

Change: a request with a ticket always goes to the daemon that the ticket names, whatever this one knows of routes; a sending whose body was not read tells 'unknown' when an earlier one may have run; the directory answers 503 until there is a configuration; malformed requests make no claim at all. A case in the fault table covers it.

--- a/packages/bench/src/Caller.ts
+++ b/packages/bench/src/Caller.ts
@@ -8,13 +8,19 @@
 import { Agent, request } from 'undici';
 
 const MILLISECONDS_PER_SECOND = 1_000;
-const FORBIDDEN_STATUS = 428;
+const OK_STATUS = 200;
+const TICKET_REQUIRED_STATUS = 428;
+const DIRECTORY_MILLISECONDS = 1_000;
+/** Longer than any deadline of the examples. */
+const CALL_MILLISECONDS = 70_000;
 
 /** What the caller was told, checked against what it asked. */
 export interface CallResult {
   readonly identity: string;
   readonly outcome: OutcomeKind | 'cut';
   readonly reason: string;
+  /** What the caller may do next. */
+  readonly advice: string;
   readonly status: number;
   /** The answer was another request's, or not whole. */
   readonly isWrong: boolean;
@@ -73,13 +79,21 @@
     return answer;
   }
 
+  /** Asks some directory for a ticket of its daemon. */
+  public freshTicket(service: string): Promise<DirectoryAnswer> {
+    const start = Math.floor(Math.random() * this.directories.length);
+    const order = [...this.directories.slice(start), ...this.directories.slice(0, start)];
+    return this.askDirectories(service, order);
+  }
+
   /** Sends one request; one that needs a ticket and has none gets it first. */
   public async call(options: CallOptions): Promise<CallResult> {
     const address = options.address ?? (await this.lookUp(options.service)).addresses[0]?.address;
     const identity = options.identity ?? randomUUID();
     const startedAt = this.clock.now();
     const first = await this.send(address ?? '', options, identity, options.ticket);
-    const isTicketMissing = first.result.status === FORBIDDEN_STATUS && first.ticket !== undefined;
+    const isTicketMissing =
+      first.result.status === TICKET_REQUIRED_STATUS && first.ticket !== undefined;
     if (!isTicketMissing) return first.result;
     const second = await this.send(address ?? '', options, identity, first.ticket);
     return { ...second.result, milliseconds: this.clock.now() - startedAt };
@@ -93,9 +107,11 @@
     try {
       const response = await request(
         `http://${address}${DIRECTORY_PATH}?service=${service}&zone=${this.zone}`,
-        { dispatcher: this.agent },
+        { dispatcher: this.agent, signal: AbortSignal.timeout(DIRECTORY_MILLISECONDS) },
       );
-      return (await response.body.json()) as DirectoryAnswer;
+      const answer = (await response.body.json()) as DirectoryAnswer;
+      if (response.statusCode !== OK_STATUS) throw new Error(`status ${response.statusCode}`);
+      return answer;
     } catch (error) {
       if (rest.length === 0) throw error;
       return this.askDirectories(service, rest);
@@ -113,6 +129,7 @@
       identity,
       outcome: 'cut',
       reason: '',
+      advice: '',
       status: 0,
       isWrong: false,
       workMilliseconds: 0,
@@ -124,6 +141,7 @@
       const response = await request(`http://${address}${options.path}`, {
         dispatcher: this.agent,
         method: options.method,
+        signal: AbortSignal.timeout(CALL_MILLISECONDS),
         body: options.body ?? null,
         headers: {
           [IDENTITY_HEADER]: identity,
@@ -154,7 +172,8 @@
   const outcome = (headerText(response, CALLER_HEADERS.outcome) ?? 'cut') as OutcomeKind;
   const status = response.statusCode;
   const reason = headerText(response, CALLER_HEADERS.reason) ?? '';
-  if (outcome !== 'answered') return { outcome, reason, status };
+  const advice = headerText(response, CALLER_HEADERS.advice) ?? '';
+  if (outcome !== 'answered') return { outcome, reason, advice, status };
   const answer = parseAnswer(text);
   const digest = createHash('sha256')
     .update(options.body ?? Buffer.alloc(0))
--- /dev/null
+++ b/packages/bench/src/__tests__/faults/ProcessFleet.ts
@@ -0,0 +1,195 @@
+/**
+ * Daemons as processes of their own, with the stand-ins in this one: for tests with signals and
+ * real time. Each daemon reaches the others through the stand-in of a link.
+ */
+import type { ChildProcess } from 'node:child_process';
+import { spawn } from 'node:child_process';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { OperatorClient } from '@cactusrun/command-line';
+import type { Random, Stop } from '@cactusrun/core';
+import { createRandom, inSequence, mergeStops, systemClock } from '@cactusrun/core';
+import { StandInLink, StandInPlatform, StandInUpstream } from '@cactusrun/stand-ins';
+import type { Deployment } from '../../Deployment.js';
+import { plannedTargets, readContracts } from '../../Deployment.js';
+
+const PROGRAM = fileURLToPath(new URL('../../../../daemon/bin/cactusrund.mjs', import.meta.url));
+const PLATFORM_ADDRESS = '127.0.0.10:7400';
+const READY_MILLISECONDS = 10_000;
+const POLL_MILLISECONDS = 50;
+
+export interface DaemonProcess {
+  readonly index: number;
+  readonly callers: string;
+  readonly operators: string;
+  process: ChildProcess;
+  isPaused: boolean;
+}
+
+export default class ProcessFleet {
+  public readonly daemons: DaemonProcess[] = [];
+
+  public readonly upstreams = new Map<string, StandInUpstream>();
+
+  public readonly links: StandInLink[] = [];
+
+  public readonly random: Random;
+
+  public readonly platform = new StandInPlatform({
+    address: PLATFORM_ADDRESS,
+    clock: systemClock,
+    retentionMilliseconds: 3_600_000,
+    appendsPerSecond: 300,
+  });
+
+  private readonly stops: Stop[] = [];
+
+  private folder = '';
+
+  constructor(
+    private readonly deployment: Deployment,
+    private readonly count: number,
+    seed: number,
+    private readonly workMilliseconds: number,
+  ) {
+    this.random = createRandom(seed);
+  }
+
+  public async start(): Promise<void> {
+    this.folder = await mkdtemp(join(tmpdir(), 'cactusrun-'));
+    this.stops.push(await this.platform.start());
+    const script = await readContracts(this.deployment.name);
+    await inSequence(plannedTargets(script), async (target) => {
+      const upstream = new StandInUpstream({
+        ...target,
+        workMilliseconds: this.workMilliseconds,
+        coldMilliseconds: 0,
+        clock: systemClock,
+        random: this.random,
+      });
+      this.upstreams.set(target.name, upstream);
+      this.stops.push(await upstream.start());
+    });
+    const indexes = Array.from({ length: this.count }, (_, index) => index);
+    await inSequence(indexes, async (index) => {
+      const link = new StandInLink({
+        address: this.linkAddress(index),
+        farAddress: this.address(index, 7401),
+        delayMilliseconds: 1,
+        clock: systemClock,
+      });
+      this.links.push(link);
+      this.stops.push(await link.start());
+      await writeFile(this.settingsFile(index), JSON.stringify(this.settings(index)));
+      this.daemons.push({
+        index,
+        callers: this.address(index, 8080),
+        operators: this.address(index, 9090),
+        process: this.spawn(index),
+        isPaused: false,
+      });
+    });
+    await inSequence(indexes, (index) => this.awaitReady(index));
+    await systemClock.sleep(2_000);
+    const reply = await new OperatorClient(this.address(0, 9090)).change({
+      identity: 'contracts',
+      author: 'test',
+      script,
+      isDryRun: false,
+    });
+    if (reply.kind !== 'accepted') throw new Error(JSON.stringify(reply));
+    await systemClock.sleep(1_000);
+  }
+
+  public signal(index: number, signal: NodeJS.Signals): void {
+    this.daemons[index]?.process.kill(signal);
+  }
+
+  /** Starts another daemon in the place of one that has ended. */
+  public async replace(index: number): Promise<void> {
+    const daemon = this.daemons[index];
+    if (daemon === undefined) return;
+    daemon.process = this.spawn(index);
+    daemon.isPaused = false;
+    await this.awaitReady(index);
+  }
+
+  /** Waits until the process has ended; returns its exit status. */
+  public async ended(index: number): Promise<number | null> {
+    const { process } = this.daemons[index]!;
+    if (process.exitCode !== null || process.signalCode !== null) return process.exitCode;
+    return new Promise((resolve) => {
+      process.once('exit', (code) => resolve(code));
+    });
+  }
+
+  public async stop(): Promise<void> {
+    await Promise.all(
+      this.daemons.map(async ({ index }) => {
+        this.signal(index, 'SIGCONT');
+        this.signal(index, 'SIGKILL');
+        await this.ended(index);
+      }),
+    );
+    await mergeStops(this.stops)();
+    await rm(this.folder, { recursive: true });
+  }
+
+  private async awaitReady(index: number): Promise<void> {
+    const end = systemClock.now() + READY_MILLISECONDS;
+    const isUp = async () => {
+      const response = await fetch(`http://${this.address(index, 9090)}/health`).catch(() => null);
+      return response?.ok === true;
+    };
+    // eslint-disable-next-line no-await-in-loop
+    while (!(await isUp())) {
+      if (systemClock.now() > end) throw new Error(`host ${index} is not up`);
+      // eslint-disable-next-line no-await-in-loop
+      await systemClock.sleep(POLL_MILLISECONDS);
+    }
+  }
+
+  private spawn(index: number): ChildProcess {
+    return spawn(process.execPath, [PROGRAM, '--settings', this.settingsFile(index)], {
+      stdio: 'ignore',
+    });
+  }
+
+  private settingsFile(index: number): string {
+    return join(this.folder, `host-${index}.yaml`);
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  private address(index: number, port: number): string {
+    return `127.0.0.${21 + index}:${port}`;
+  }
+
+  // eslint-disable-next-line class-methods-use-this
+  private linkAddress(index: number): string {
+    return `127.0.9.${21 + index}:7401`;
+  }
+
+  private settings(index: number) {
+    const zone = this.deployment.zones[index % this.deployment.zones.length]!;
+    const others = Array.from({ length: this.count }, (_, other) => other).filter(
+      (other) => other !== index,
+    );
+    return {
+      host: { name: `host-${index + 1}`, zone, region: zone.split('-')[0] },
+      addresses: {
+        callers: this.address(index, 8080),
+        peers: this.address(index, 7401),
+        heartbeats: this.address(index, 7402),
+        operators: this.address(index, 9090),
+      },
+      platform: { address: PLATFORM_ADDRESS, retentionMilliseconds: 3_600_000 },
+      seeds: [0, 1, 2].map((seed) => this.address(seed, 7402)),
+      reachedThrough: others.map((other) => ({
+        address: this.address(other, 7401),
+        via: this.linkAddress(other),
+      })),
+    };
+  }
+}
--- a/packages/core/src/Outcome.ts
+++ b/packages/core/src/Outcome.ts
@@ -35,7 +35,8 @@
   | 'owner-gone'
   | 'owner-unreachable'
   | 'answer-not-kept'
-  | 'ticket-forgotten';
+  | 'ticket-forgotten'
+  | 'request-incomplete';
 
 /** How a reason is told to the caller. */
 export interface OutcomeRule {
@@ -164,6 +165,13 @@
     0,
     'the ticket is older than the memory of its daemon',
   ],
+  'request-incomplete': [
+    'unknown',
+    400,
+    'same-ticket',
+    0,
+    'this sending was cut, too slow or too large, and an earlier one may have run',
+  ],
 };
 
 /** The one table of outcomes: what each reason means, and how the caller is told. */
--- a/packages/daemon/src/CallerDirectory.ts
+++ b/packages/daemon/src/CallerDirectory.ts
@@ -11,6 +11,12 @@
 const MAXIMUM_ADDRESSES = 8;
 const LOAD_STEP_PERCENT = 25;
 
+const HTTP_STATUS = { ok: 200, notFound: 404, notReady: 503 } as const;
+const ERRORS: Readonly<Record<number, string>> = {
+  [HTTP_STATUS.notFound]: 'no such service in force',
+  [HTTP_STATUS.notReady]: 'this host has no configuration yet: ask another one',
+};
+
 export interface CallerDirectoryOptions {
   readonly self: Host;
   readonly store: ConfigurationStore;
@@ -67,19 +73,26 @@
   public serve(request: IncomingMessage, response: ServerResponse): void {
     const url = new URL(request.url ?? '/', 'http://directory');
     const service = url.searchParams.get('service') ?? '';
-    const isKnown = this.options.store.current.contracts.has(service);
-    this.options.counters.add('directory', isKnown ? 'answered' : 'unknown-service');
-    const body = isKnown
-      ? this.answer(service, url.searchParams.get('zone') ?? undefined)
-      : { error: 'no such service in force' };
+    const status = this.statusFor(service);
+    const body =
+      status === HTTP_STATUS.ok
+        ? this.answer(service, url.searchParams.get('zone') ?? undefined)
+        : { error: ERRORS[status] };
+    this.options.counters.add('directory', String(status));
     const text = `${JSON.stringify(body)}\n`;
-    response.writeHead(isKnown ? 200 : 404, {
+    response.writeHead(status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
-      ...(isKnown ? { 'cache-control': `max-age=${DIRECTORY_SECONDS}` } : {}),
+      ...(status === HTTP_STATUS.ok ? { 'cache-control': `max-age=${DIRECTORY_SECONDS}` } : {}),
     });
     response.end(text);
   }
+
+  private statusFor(service: string): (typeof HTTP_STATUS)[keyof typeof HTTP_STATUS] {
+    const { store } = this.options;
+    if (!store.isReady) return HTTP_STATUS.notReady;
+    return store.current.contracts.has(service) ? HTTP_STATUS.ok : HTTP_STATUS.notFound;
+  }
 }
 
 /** Near before far; of those as near, the less busy ones. */
--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -31,6 +31,8 @@
   readonly directory: CallerDirectory;
   readonly handle: (request: CallerRequest) => Promise<CallerAnswer>;
   readonly issueTicket: () => string;
+  /** Whether an earlier sending with the ticket may have run. */
+  readonly mayHaveRun: (ticket: string) => boolean;
 }
 
 /** Statuses for what Node's own parser refuses, by its error code. */
@@ -131,10 +133,17 @@
   private async answer(request: IncomingMessage, signal: AbortSignal): Promise<CallerAnswer> {
     const { bodyBytes, clock, handle } = this.options;
     const head = await readBodyHead(request, bodyBytes, HEAD_MILLISECONDS, clock);
-    if (head.kind !== 'read') return refused(BODY_REFUSALS[head.kind]);
+    if (head.kind !== 'read') return this.refuseUnread(request, BODY_REFUSALS[head.kind]);
     return handle(this.describe(request, head, signal));
   }
 
+  /** A sending whose body was not read proves nothing about an earlier one with its ticket. */
+  private refuseUnread(request: IncomingMessage, reason: OutcomeReason): CallerAnswer {
+    const ticket = request.headers[CALLER_HEADERS.ticket];
+    const isDoubtful = typeof ticket === 'string' && this.options.mayHaveRun(ticket);
+    return refused(isDoubtful ? 'request-incomplete' : reason);
+  }
+
   private describe(
     request: IncomingMessage,
     head: Extract<BodyHead, { kind: 'read' }>,
@@ -215,7 +224,7 @@
       return;
     }
     const status = PARSER_STATUS[error.code ?? ''] ?? '400 Bad Request';
-    const fields = `${CALLER_HEADERS.outcome}: not-run\r\n${CALLER_HEADERS.reason}: malformed\r\n`;
+    const fields = `${CALLER_HEADERS.reason}: malformed\r\n`;
     socket.end(`HTTP/1.1 ${status}\r\n${fields}connection: close\r\ncontent-length: 0\r\n\r\n`);
   }
 }
--- a/packages/daemon/src/RequestHandler.ts
+++ b/packages/daemon/src/RequestHandler.ts
@@ -7,7 +7,7 @@
 import { targetKey } from '@cactusrun/configuration';
 import type { Clock, Contract, Counters } from '@cactusrun/core';
 import type { Attempt, AttemptResult, RequestBody, ResolvedRoute } from '@cactusrun/requests';
-import { RouteTable } from '@cactusrun/requests';
+import { refusal, RouteTable } from '@cactusrun/requests';
 import type { CallerAnswer, CallerRequest } from './CallerRequest.js';
 import { refused } from './CallerRequest.js';
 import { forwardedHeaders, headerOf } from './headers.js';
@@ -15,6 +15,8 @@
 import type TicketedRequests from './TicketedRequests.js';
 
 const FINGERPRINT_CHARACTERS = 20;
+/** Longest wait for the daemon that a ticket names when no contract gives a deadline. */
+const UNRESOLVED_MILLISECONDS = 10_000;
 
 export interface RequestHandlerOptions {
   readonly store: ConfigurationStore;
@@ -41,29 +43,32 @@
 
   /** Handles one request; never rejects for anything that a caller or a target can cause. */
   public async handle(request: CallerRequest): Promise<CallerAnswer> {
-    const { store, clock, tickets, counters } = this.options;
-    if (!store.isReady) return refused('no-configuration');
-    const resolved = this.resolve(request);
-    if (resolved === undefined) return refused('route-unknown');
-    const { contract, route } = resolved;
-    counters.add('requests', contract.service);
-    const limit = Math.min(
-      request.limitMilliseconds ?? contract.deadlineMilliseconds,
-      contract.deadlineMilliseconds,
-    );
-    const deadline = clock.now() + limit;
-    const path: Path = {
-      request,
-      resolved,
-      deadline,
-      fingerprint: fingerprintOf(request, contract),
-    };
-    if (route.requestClass === 'non-idempotent') {
-      return tickets.handle(request, deadline, (body, signal, onAdmitted) =>
-        this.run(path, body, signal, onAdmitted),
+    const { store, clock, tickets } = this.options;
+    const resolved = store.isReady ? this.resolve(request) : undefined;
+    const unresolved = store.isReady ? 'route-unknown' : 'no-configuration';
+    const deadline = clock.now() + limitOf(request, resolved);
+    if (resolved?.route.requestClass === 'idempotent') {
+      return this.run(
+        this.begin(request, resolved, deadline),
+        request.body,
+        request.signal,
+        () => {},
       );
     }
-    return this.run(path, request.body, request.signal, () => {});
+    if (resolved === undefined && request.ticket === undefined) return refused(unresolved);
+    // Where there is a ticket, only the daemon that it names can say that nothing ran.
+    const path = resolved && this.begin(request, resolved, deadline);
+    return tickets.handle(request, deadline, (body, signal, onAdmitted) =>
+      path === undefined
+        ? Promise.resolve(refusal(unresolved, ''))
+        : this.run(path, body, signal, onAdmitted),
+    );
+  }
+
+  private begin(request: CallerRequest, resolved: ResolvedRoute, deadline: number): Path {
+    const { contract } = resolved;
+    this.options.counters.add('requests', contract.service);
+    return { request, resolved, deadline, fingerprint: fingerprintOf(request, contract) };
   }
 
   private resolve(request: CallerRequest): ResolvedRoute | undefined {
@@ -112,6 +117,12 @@
   }
 }
 
+/** The time that the request may take, in milliseconds. */
+function limitOf(request: CallerRequest, resolved: ResolvedRoute | undefined): number {
+  const longest = resolved?.contract.deadlineMilliseconds ?? UNRESOLVED_MILLISECONDS;
+  return Math.min(request.limitMilliseconds ?? longest, longest);
+}
+
 /** Identifies a request by what a target would see of it. */
 function fingerprintOf(request: CallerRequest, contract: Contract): string {
   const length = headerOf(request.headers, 'content-length') ?? '';
--- a/packages/daemon/src/TicketedRequests.ts
+++ b/packages/daemon/src/TicketedRequests.ts
@@ -83,6 +83,12 @@
     return this.options.issuer.issue(this.options.clock.now());
   }
 
+  /** Whether an earlier sending with this ticket may have run, as far as this daemon can tell. */
+  public mayHaveRun(ticket: string): boolean {
+    const { issuer, ledger } = this.options;
+    return !issuer.isOwn(ticket) || ledger.has(ticket);
+  }
+
   /**
    * Handles a request that must not run twice.
    *
--- a/packages/daemon/src/__tests__/unit/FakeControlFleet.ts
+++ b/packages/daemon/src/__tests__/unit/FakeControlFleet.ts
@@ -70,7 +70,7 @@
       peerAddress: `host-${index}`,
       heartbeatAddress: `host-${index}`,
     };
-    const node = this.createNode(host, index);
+    const node = this.createNode(host);
     this.nodes.set(index, node);
     return node;
   }
@@ -115,7 +115,7 @@
     return this.nodes.get(index)!.desk.submit(request);
   }
 
-  private createNode(host: Host, index: number): ControlNode {
+  private createNode(host: Host): ControlNode {
     const { clock } = this;
     const counters = new Counters();
     const random = createRandom(this.seed * 1_000 + this.generation);
--- a/packages/daemon/src/__tests__/unit/FakeFleet.ts
+++ b/packages/daemon/src/__tests__/unit/FakeFleet.ts
@@ -143,6 +143,12 @@
     this.refreshViews();
   }
 
+  /** A daemon that was just started and has learnt nothing yet takes the node's place. */
+  public forgetConfiguration(index: number): void {
+    this.addNode(index, 2);
+    this.nodes[index]!.index.setMembers(this.nodes.map(({ host }) => host));
+  }
+
   /** The node neither hears nor acts until the returned function is called. */
   public pause(index: number): () => void {
     let resume: () => void = () => {};
--- a/packages/daemon/src/__tests__/unit/requestFaults.test.ts
+++ b/packages/daemon/src/__tests__/unit/requestFaults.test.ts
@@ -307,6 +307,19 @@
       expect(fleet.targets.countRuns('order-1')).toBe(1);
     });
 
+    it('is asked by a daemon that has no configuration, which itself proves nothing', async () => {
+      const fleet = await FakeFleet.create(4, 17);
+      const ticket = fleet.issueTicket(ENTRY);
+      await fleet.settle(fleet.send({ ...order(ticket), node: ENTRY }));
+      fleet.forgetConfiguration(OTHER);
+      const told = await fleet.settle(fleet.send({ ...order(ticket), node: OTHER }));
+      expect(kindOf(told)).toBe('answered');
+      const unused = fleet.issueTicket(OTHER);
+      const refused = await fleet.settle(fleet.send({ ...order(unused), node: OTHER }));
+      expect(refused.reason).toBe('no-configuration');
+      expect(fleet.targets.countRuns('order-1')).toBe(1);
+    });
+
     it.each(['to', 'from'])('is not heard one way (%s)', async (direction) => {
       const fleet = await FakeFleet.create(4, 5);
       const ticket = fleet.issueTicket(ENTRY);
--- a/packages/daemon/src/wireDaemon.ts
+++ b/packages/daemon/src/wireDaemon.ts
@@ -278,6 +278,7 @@
     directory,
     handle: (request) => handler.handle(request),
     issueTicket: () => tickets.issue(),
+    mayHaveRun: (ticket) => tickets.mayHaveRun(ticket),
   });
 
   // What operators see and do.
--- a/packages/requests/src/TicketLedger.ts
+++ b/packages/requests/src/TicketLedger.ts
@@ -112,6 +112,12 @@
     return this.keptBytes;
   }
 
+  /** Whether the ticket was used, or may have been and is forgotten. */
+  public has(ticket: string): boolean {
+    const issuedAt = readTicket(ticket)?.issuedAt ?? -1;
+    return this.entries.has(ticket) || this.refuseUnknown(issuedAt) === 'ticket-forgotten';
+  }
+
   /** Decides what a request with this ticket may do; the ticket is known to be this issuer's. */
   public admit(ticket: string, use: TicketUse): Admission {
     this.expire();
--- a/packages/stand-ins/src/StandInUpstream.ts
+++ b/packages/stand-ins/src/StandInUpstream.ts
@@ -42,6 +42,8 @@
 export interface RunRecord {
   readonly identity: string;
   readonly isWhole: boolean;
+  /** Time of the upstream's clock at which the work was begun. */
+  readonly startedAt: number;
 }
 
 /** Headers of the protocol with upstreams. */
@@ -142,7 +144,7 @@
     });
     const identity = String(request.headers[IDENTITY_HEADER] ?? '');
     const body = await digestBody(request);
-    this.runs.push({ identity, isWhole: request.complete });
+    this.runs.push({ identity, isWhole: request.complete, startedAt: this.options.clock.now() });
     if (this.isCrashing(body.text)) {
       await this.crash();
       return;
