--- a/packages/bench/src/runExperiment.ts
+++ b/packages/bench/src/runExperiment.ts
@@ -147,20 +147,32 @@
 
   public seeds = Option.String('--seeds', '20', { description: 'Seeds for each trial.' });
 
+  public shape = Option.String('--shape', {
+    description: 'One deployment only: tuul or kreupelhout.',
+  });
+
   public page = Option.String('--page', { description: 'Markdown page to append to.' });
 
-  public plot = Option.String('--plot', { description: 'SVG file of the curve.' });
+  public plot = Option.String('--plot', {
+    description: 'Draw the curve into this SVG file in place of the tables.',
+  });
 
   public override async execute(): Promise<number> {
     const seeds = Number(this.seeds);
     const parts: string[] = [];
-    await inSequence(Object.keys(SHAPES) as (keyof typeof SHAPES)[], async (name) => {
+    const names = (Object.keys(SHAPES) as (keyof typeof SHAPES)[]).filter(
+      (name) => this.shape === undefined || this.shape === name,
+    );
+    await inSequence(this.plot === undefined ? names : [], async (name) => {
       parts.push(await this.tryShape(name, SHAPES[name], seeds));
     });
+    if (this.plot !== undefined) {
+      await writeFile(this.plot, await this.plotShapes(seeds));
+      return 0;
+    }
     const text = `\n## Policies against faults, ${seeds} seeds\n\n${parts.join('\n')}`;
     this.context.stdout.write(text);
     if (this.page !== undefined) await appendFile(this.page, text);
-    if (this.plot !== undefined) await writeFile(this.plot, await this.plotShapes(seeds));
     return 0;
   }
 
--- a/packages/daemon/src/__tests__/unit/controlFaults.test.ts
+++ b/packages/daemon/src/__tests__/unit/controlFaults.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { ChangeAnswer } from '../../ChangeDesk.js';
 import FakeControlFleet from './FakeControlFleet.js';
+import type FakeLog from './FakeLog.js';
 
 const HOSTS = 6;
 const FAULT_MILLISECONDS = 20_000;
@@ -17,22 +18,28 @@
   readonly end: Step;
 }
 
+function setLog(patch: Partial<FakeLog>): Step {
+  return ({ log }) => {
+    Object.assign(log, patch);
+  };
+}
+
 const PLATFORM_FAULTS: Readonly<Record<string, Fault>> = {
   works: { begin: () => {}, end: () => {} },
   'is slow': {
-    begin: ({ log }) => Object.assign(log, { delayMilliseconds: 800 }),
-    end: ({ log }) => Object.assign(log, { delayMilliseconds: 1 }),
+    begin: setLog({ delayMilliseconds: 800 }),
+    end: setLog({ delayMilliseconds: 1 }),
   },
   'is down': {
-    begin: ({ log }) => Object.assign(log, { isDown: true }),
-    end: ({ log }) => Object.assign(log, { isDown: false }),
+    begin: setLog({ isDown: true }),
+    end: setLog({ isDown: false }),
   },
   'loses replies': {
-    begin: ({ log }) => Object.assign(log, { losesReplies: true }),
-    end: ({ log }) => Object.assign(log, { losesReplies: false }),
+    begin: setLog({ losesReplies: true }),
+    end: setLog({ losesReplies: false }),
   },
   'is down and comes back empty': {
-    begin: ({ log }) => Object.assign(log, { isDown: true }),
+    begin: setLog({ isDown: true }),
     end: ({ log }) => {
       log.dropAll();
       Object.assign(log, { isDown: false });
--- a/packages/health/src/PeerBaseline.ts
+++ b/packages/health/src/PeerBaseline.ts
@@ -15,6 +15,7 @@
 const FAILURE_TOLERANCE = 0.02;
 /** Peers' requests needed before the fast mean counts. */
 const FAST_SAMPLES = 10;
+const MOST = 0.5;
 
 interface Entry {
   readonly duration: FadingMean;
@@ -27,6 +28,9 @@
 export default class PeerBaseline {
   private readonly entries = new Map<string, Entry>();
 
+  /** Of all targets together: the share of requests that fail or are overdue now. */
+  private readonly recentTrouble = new FadingMean(FAST_WEIGHT);
+
   /** @param firstMilliseconds - the duration assumed before anything is known */
   constructor(private readonly firstMilliseconds: number) {}
 
@@ -58,16 +62,23 @@
 
   /** A request of the target runs for this long already: its duration is at least as long. */
   public noteOverdue(target: string, milliseconds: number): void {
+    this.recentTrouble.add(1);
     this.entries.get(target)?.duration.add(milliseconds);
     this.tellPeers(target, (peer) => peer.peersDuration.add(Math.log(Math.max(1, milliseconds))));
   }
 
   public noteOutcome(target: string, isFailure: boolean): void {
     const value = isFailure ? 1 : 0;
+    this.recentTrouble.add(value);
     this.entries.get(target)?.failures.add(value);
     this.tellPeers(target, (peer) => peer.peersFailures.add(value));
   }
 
+  /** Whether most requests fail or are overdue, whichever target they go to. */
+  public get isMostlyTrouble(): boolean {
+    return this.recentTrouble.samples >= FAST_SAMPLES && this.recentTrouble.value > MOST;
+  }
+
   /** The duration that the target is compared with, in milliseconds. */
   public peerMilliseconds(target: string): number {
     const own = this.entries.get(target);
--- a/packages/health/src/ShardHealth.ts
+++ b/packages/health/src/ShardHealth.ts
@@ -157,10 +157,7 @@
   }
 
   public get isDoubtful(): boolean {
-    const steered = [...this.records.values()].filter(
-      (record) => record.cusum.score >= this.level.steerScore,
-    ).length;
-    return this.records.size > 1 && steered * 2 > this.records.size;
+    return this.records.size > 1 && this.baseline.isMostlyTrouble;
   }
 
   public started(target: string, callerZone: string): Observation {
--- a/packages/requests/src/ShardKeeper.ts
+++ b/packages/requests/src/ShardKeeper.ts
@@ -26,7 +26,7 @@
 import TargetSlots from './TargetSlots.js';
 
 /** Requests that may wait for each slot. */
-const QUEUE_PER_SLOT = 4;
+const QUEUE_PER_SLOT = 2;
 /** Weight of the newest measurement in the mean time that a slot is held. */
 const HOLD_WEIGHT = 0.1;
 const FIRST_HOLD_MILLISECONDS = 50;
