Wire a daemon in four parts; split the slopes

Cause: wireDaemon had grown to 440 lines and runSlopes to 430; a request that breaks targets made the evidence of every service's targets forgotten.

Change: control, targets, requests and the daemon are wired in a module each; slopes stand by subject; only the service's own targets are forgiven.

--- a/packages/bench/src/__tests__/faults/ProcessFleet.ts
+++ b/packages/bench/src/__tests__/faults/ProcessFleet.ts
@@ -53,6 +53,8 @@
     private readonly count: number,
     seed: number,
     private readonly workMilliseconds: number,
+    /** Daemons reach one another without the stand-in of the link. */
+    private readonly isDirect = false,
   ) {
     this.random = createRandom(seed);
   }
@@ -186,7 +188,7 @@
       },
       platform: { address: PLATFORM_ADDRESS, retentionMilliseconds: 3_600_000 },
       seeds: [0, 1, 2].map((seed) => this.address(seed, 7402)),
-      reachedThrough: others.map((other) => ({
+      reachedThrough: (this.isDirect ? [] : others).map((other) => ({
         address: this.address(other, 7401),
         via: this.linkAddress(other),
       })),
--- a/packages/daemon/src/ShardRegistry.ts
+++ b/packages/daemon/src/ShardRegistry.ts
@@ -121,11 +121,13 @@
     );
   }
 
-  /** The targets were broken by a request that breaks whatever runs it. */
-  public forgiveTargets(): void {
-    this.kept.forEach(({ shard, health }) => {
-      shard.targets.forEach((target) => health.forgive(target.name));
-    });
+  /** The service's targets were broken by a request that breaks whatever runs it. */
+  public forgiveTargets(service: string): void {
+    [...this.kept.values()]
+      .filter(({ shard }) => shard.service === service)
+      .forEach(({ shard, health }) => {
+        shard.targets.forEach((target) => health.forgive(target.name));
+      });
   }
 
   /** No new work from now on; every shard is handed over. */
--- /dev/null
+++ b/packages/daemon/src/wireRequests.ts
@@ -0,0 +1,63 @@
+/** Wires the path of a caller's request, from the server that accepts it to the keeper's gateway. */
+import { TicketIssuer, TicketLedger } from '@cactusrun/requests';
+import CallerDirectory from './CallerDirectory.js';
+import EntryServer from './EntryServer.js';
+import KeeperGateway from './KeeperGateway.js';
+import RequestForwarder from './RequestForwarder.js';
+import RequestHandler from './RequestHandler.js';
+import ShardRouter from './ShardRouter.js';
+import TicketedRequests from './TicketedRequests.js';
+import type { Control, Surroundings } from './wireControl.js';
+import type { Targets } from './wireTargets.js';
+
+export default function wireRequests(
+  surroundings: Surroundings,
+  control: Control,
+  targets: Targets,
+) {
+  const { settings, host, clock, counters } = surroundings;
+  const { store, membership, clients, findHost } = control;
+  const { registry } = targets;
+  const gateway = new KeeperGateway({ self: host.name, registry, clients, clock, counters });
+  const router = new ShardRouter({
+    ...surroundings,
+    registry,
+    gateway,
+    findHost,
+    isReachable: (name) => membership.isReachable(name),
+  });
+  const forwarder = new RequestForwarder({ membership, clients, clock, counters });
+  const tickets = new TicketedRequests({
+    issuer: new TicketIssuer(host.name, host.incarnation),
+    ledger: new TicketLedger(clock, counters, {
+      tickets: settings.limits.tickets,
+      answerBytes: settings.limits.keptAnswerBytes,
+    }),
+    self: host,
+    clock,
+    counters,
+    forward: (facts, request, deadline) => forwarder.forward(facts, request, deadline),
+  });
+  const handler = new RequestHandler({ store, router, tickets, clock, counters });
+  const issueTicket = () => tickets.issue();
+  const directory = new CallerDirectory({
+    ...surroundings,
+    self: host,
+    store,
+    membership,
+    issueTicket,
+  });
+  const entry = new EntryServer({
+    address: host.callerAddress,
+    zone: host.zone,
+    headerBytes: settings.limits.headerBytes,
+    bodyBytes: settings.limits.bodyBytes,
+    clock,
+    counters,
+    directory,
+    handle: (request) => handler.handle(request),
+    issueTicket,
+    mayHaveRun: (ticket) => tickets.mayHaveRun(ticket),
+  });
+  return { gateway, handler, entry };
+}
