--- a/packages/daemon/src/HostWatcher.ts
+++ b/packages/daemon/src/HostWatcher.ts
@@ -3,13 +3,17 @@
 import { repeatUntilAborted, startTask } from '@cactusrun/core';
 import type { HostList, ListedHost } from '@cactusrun/platform';
 
-const PERIOD_MILLISECONDS = 2_000;
+const SHORTEST_PERIOD_MILLISECONDS = 2_000;
+/** Keeps the fleet's reads of the list at about a hundred a second, whatever its size. */
+const PERIOD_PER_MEMBER_MILLISECONDS = 10;
 
 export interface HostWatcherOptions {
   readonly hostList: HostList;
   readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
+  /** Daemons of the fleet, as far as is known. */
+  readonly memberCount: () => number;
 }
 
 export default class HostWatcher {
@@ -25,7 +29,9 @@
       (signal) =>
         repeatUntilAborted(signal, async () => {
           await this.readOnce();
-          await clock.sleep(PERIOD_MILLISECONDS * (0.75 + random.unit() / 2), signal);
+          const scaled = PERIOD_PER_MEMBER_MILLISECONDS * this.options.memberCount();
+          const period = Math.max(SHORTEST_PERIOD_MILLISECONDS, scaled);
+          await clock.sleep(period * (0.75 + random.unit() / 2), signal);
         }),
       () => counters.add('host_list', 'task-failed'),
     );
--- a/packages/daemon/src/__tests__/unit/FakeControlFleet.ts
+++ b/packages/daemon/src/__tests__/unit/FakeControlFleet.ts
@@ -126,6 +126,7 @@
       ...shared,
       log,
       retentionMilliseconds: RETENTION_MILLISECONDS,
+      memberCount: () => this.nodes.size,
     });
     const follower = new LogFollower({
       ...shared,
--- a/packages/daemon/src/__tests__/unit/controlFaults.test.ts
+++ b/packages/daemon/src/__tests__/unit/controlFaults.test.ts
@@ -204,6 +204,24 @@
     await fleet.stop();
   });
 
+  it('writes few snapshots when the log comes back empty, however many hosts there are', async () => {
+    const fleet = new FakeControlFleet(13);
+    await fleet.start(30);
+    await fleet.settle(fleet.change(1, 'create', CREATE));
+    Object.assign(fleet.log, { isDown: true });
+    await fleet.clock.advance(30_000);
+    fleet.log.dropAll();
+    Object.assign(fleet.log, { isDown: false });
+    await fleet.clock.advance(20_000);
+    const written = [...fleet.nodes.values()].reduce(
+      (sum, { counters }) => sum + counters.valueOf('snapshots', 'written'),
+      0,
+    );
+    expect(written).toBeGreaterThan(0);
+    expect(written).toBeLessThanOrEqual(30 / 5);
+    await fleet.stop();
+  });
+
   it('goes on after the log lost records that nobody had read', async () => {
     const fleet = new FakeControlFleet(12);
     await fleet.start(3);
--- a/packages/daemon/src/wireControl.ts
+++ b/packages/daemon/src/wireControl.ts
@@ -31,10 +31,21 @@
   const store = new ConfigurationStore(counters, clock);
   const shared = { ...surroundings, log: platform, store };
   const { retentionMilliseconds } = settings.platform;
-  const snapshots = new SnapshotWriter({ ...shared, retentionMilliseconds });
+  let memberCount: () => number = () => 1;
+  const snapshots = new SnapshotWriter({
+    ...shared,
+    retentionMilliseconds,
+    memberCount: () => memberCount(),
+  });
   const rebase = () => snapshots.write(store.current, true);
   const follower = new LogFollower({ ...shared, rebase });
-  const hosts = new HostWatcher({ hostList: platform, clock, random, counters });
+  const hosts = new HostWatcher({
+    hostList: platform,
+    clock,
+    random,
+    counters,
+    memberCount: () => memberCount(),
+  });
   const transport = await openUdpTransport(host.heartbeatAddress, translate, counters);
   const membership = new Membership({
     ...surroundings,
@@ -42,6 +53,7 @@
     seeds: () => [...new Set([...settings.seeds, ...hosts.entryAddresses()])],
     transport,
   });
+  memberCount = () => membership.serving().length;
   const clients = new PeerClients(translate);
   const sync = new ConfigurationSync({ ...shared, self: host, membership, clients });
   const findHost = (name: string): Host | undefined =>
--- a/packages/platform/src/SnapshotWriter.ts
+++ b/packages/platform/src/SnapshotWriter.ts
@@ -17,11 +17,15 @@
   readonly logger: Logger;
   /** How long the platform keeps records. */
   readonly retentionMilliseconds: number;
+  /** Daemons of the fleet, as far as is known. */
+  readonly memberCount: () => number;
 }
 
 /** Snapshots in one span of retention. */
 const SNAPSHOTS_PER_RETENTION = 4;
 const LONGEST_WAIT_MILLISECONDS = 5_000;
+/** Daemons that find a snapshot due wait so much longer, that few write before one is seen. */
+const SPREAD_PER_MEMBER_MILLISECONDS = 50;
 
 export default class SnapshotWriter {
   constructor(private readonly options: SnapshotWriterOptions) {}
@@ -36,13 +40,19 @@
 
   /** One turn: wait, and write if a snapshot is due and nobody else wrote one meanwhile. */
   public async writeWhenDue(signal: AbortSignal): Promise<void> {
-    const { clock, random, store, retentionMilliseconds } = this.options;
+    const { clock, random, store, retentionMilliseconds, memberCount } = this.options;
     const period = retentionMilliseconds / SNAPSHOTS_PER_RETENTION;
     const wait = Math.min(LONGEST_WAIT_MILLISECONDS, period / 2);
     await clock.sleep(wait * (0.5 + random.unit()), signal);
     if (signal.aborted || store.current.revision < 0) return;
-    const isOld = store.millisecondsSinceSnapshot(clock.now()) >= period * (1 + random.unit());
-    if (isOld || store.isSnapshotMissing) await this.write(store.current);
+    if (!this.isDue(period)) return;
+    await clock.sleep(random.unit() * SPREAD_PER_MEMBER_MILLISECONDS * memberCount(), signal);
+    if (!signal.aborted && this.isDue(period)) await this.write(store.current);
+  }
+
+  private isDue(period: number): boolean {
+    const { clock, store } = this.options;
+    return store.isSnapshotMissing || store.millisecondsSinceSnapshot(clock.now()) >= period;
   }
 
   /**
