Keep the order of bytes in the stand-in of the link

Cause: uploads over the link ended as unknown ('Received message larger than max', which are the letters of the body): chunks with timers of different lengths left the stand-in out of order. Ruled out: keepalive (1 s and 1 s, never reached), the deadline (60 s), the pacer (its model fills the way and confirms in order). The product told unknown and no answer was mixed up.

--- a/packages/stand-ins/src/StandInLink.ts
+++ b/packages/stand-ins/src/StandInLink.ts
@@ -87,14 +87,18 @@
     this.sockets.add(from);
     from.setNoDelay(true);
     let waiting = 0;
+    const underWay: Buffer[] = [];
     from.on('data', (chunk: Buffer) => {
       if (this.isSilent(from, direction)) return;
       waiting += chunk.length;
       if (waiting > BUFFER_BYTES) from.pause();
+      underWay.push(chunk);
+      // Timers of different lengths may fire out of order; chunks leave in the order they came.
       this.options.clock.after(this.transit(chunk.length, direction), () => {
-        waiting -= chunk.length;
+        const next = underWay.shift() ?? Buffer.alloc(0);
+        waiting -= next.length;
         if (waiting <= BUFFER_BYTES) from.resume();
-        if (!this.isSilent(from, direction)) to.write(chunk);
+        if (!this.isSilent(from, direction)) to.write(next);
       });
     });
     const end = () => {
