--- a/packages/bench/src/measure/measureLink.ts
+++ b/packages/bench/src/measure/measureLink.ts
@@ -79,7 +79,7 @@
   const upload = caller
     .call({ ...deployment.upload, method: 'POST', body, address: far.callerAddress })
     .then((result) => ({ ...result, seconds: (systemClock.now() - uploadStartedAt) / 1_000 }));
-  const beside = await measure(Math.round(requests / 3));
+  const beside = await measure(requests);
   const uploaded = await upload;
   await caller.close();
   await fleet.stop();
--- a/packages/daemon/src/HttpTargetConnector.ts
+++ b/packages/daemon/src/HttpTargetConnector.ts
@@ -18,6 +18,8 @@
 export default class HttpTargetConnector implements TargetConnector {
   private readonly agents = new Map<string, Agent>();
 
+  private readonly answerTimes = new Map<string, number>();
+
   /** @param connectionsOf - connections allowed to a target of the service */
   constructor(
     private readonly clock: Clock,
@@ -36,11 +38,20 @@
         return;
       }
       const request = this.open(target, attempt);
-      const exchange = new TargetExchange(request, this.clock, resolve, onSent);
+      const settle = (result: TargetResult) => {
+        if (result.kind === 'answered') this.answerTimes.set(target.address, this.clock.now());
+        resolve(result);
+      };
+      const exchange = new TargetExchange(request, this.clock, settle, onSent);
       exchange.run(attempt, signal);
     });
   }
 
+  /** Monotonic time at which the target at the address last answered. */
+  public lastAnswerAt(address: string): number {
+    return this.answerTimes.get(address) ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Closes every connection. */
   public close(): void {
     this.agents.forEach((agent) => agent.destroy());
--- a/packages/daemon/src/TargetProber.ts
+++ b/packages/daemon/src/TargetProber.ts
@@ -22,6 +22,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
+  /** Monotonic time at which the target at the address last answered a request of real work. */
+  readonly lastAnswerAt: (address: string) => number;
 }
 
 export default class TargetProber {
@@ -59,7 +61,16 @@
     this.statements.forEach((_, address) => {
       if (!addresses.has(address)) this.statements.delete(address);
     });
-    await Promise.all([...addresses].map((address) => this.readOne(address)));
+    const due = [...addresses].filter((address) => this.isDue(address));
+    this.options.counters.add('probes', 'spared', addresses.size - due.length);
+    await Promise.all(due.map((address) => this.readOne(address)));
+  }
+
+  /** A target that works shows by its answers whether it drains; one that drains is asked. */
+  private isDue(address: string): boolean {
+    const { clock, lastAnswerAt } = this.options;
+    const isQuiet = clock.now() - lastAnswerAt(address) >= PERIOD_MILLISECONDS;
+    return isQuiet || this.statements.get(address)?.isDraining === true;
   }
 
   private async readOne(address: string): Promise<void> {
--- a/packages/daemon/src/wireTargets.ts
+++ b/packages/daemon/src/wireTargets.ts
@@ -25,7 +25,11 @@
     return (contract?.slotsPerTarget ?? 1) * (contract?.connectionsPerSlot ?? 1);
   });
   let keptTargets: () => readonly Target[] = () => [];
-  const prober = new TargetProber({ ...surroundings, targets: () => keptTargets() });
+  const prober = new TargetProber({
+    ...surroundings,
+    targets: () => keptTargets(),
+    lastAnswerAt: (address) => connector.lastAnswerAt(address),
+  });
   let onCrash: (key: string, count: number) => void = () => {};
   const crashes = new CrashWatch(clock, counters, (key, count) => onCrash(key, count));
   const index = new KeeperIndex(scorer);
