--- a/packages/daemon/src/KeeperGateway.ts
+++ b/packages/daemon/src/KeeperGateway.ts
@@ -74,6 +74,9 @@
 
   private async runReceived(request: ReceivedRequest): Promise<FrameAnswer> {
     const { head, body, signal, proceed } = request;
+    const requestClass = requestClassOf(head);
+    // A lookup that came whole needs no word that it was admitted.
+    const isWordNeeded = requestClass === 'non-idempotent' || !body.isWhole;
     const attempt: Attempt = {
       service: head.service,
       shard: head.shard,
@@ -81,14 +84,14 @@
       path: head.path,
       headers: fromFields(head.headers),
       body,
-      requestClass: requestClassOf(head),
+      requestClass,
       priority: priorityOf(head),
       isDeposit: head.isDeposit,
       fingerprint: head.fingerprint,
       callerZone: head.callerZone,
       deadline: this.options.clock.now() + head.remainingMilliseconds,
       signal,
-      onAdmitted: proceed,
+      ...(isWordNeeded ? { onAdmitted: proceed } : {}),
     };
     return this.options.registry.run(attempt);
   }
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/HttpTargetConnector.test.ts
@@ -0,0 +1,161 @@
+import type { Server } from 'node:net';
+import { createServer } from 'node:net';
+import { Readable } from 'node:stream';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import type { ConnectionAge, Target } from '@cactusrun/core';
+import { systemClock } from '@cactusrun/core';
+import type { Attempt, TargetResult } from '@cactusrun/requests';
+import HttpTargetConnector from '../../HttpTargetConnector.js';
+
+const HOST = '127.0.77.6';
+const CLOSED_PORT = 18_099;
+const HEAD = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n';
+
+/** What a target writes when a request has come; undefined closes, silence stays open. */
+type Answer = string | 'silence' | undefined;
+
+interface Case {
+  readonly name: string;
+  readonly answers: readonly Answer[];
+  readonly kind: TargetResult['kind'];
+  readonly isLeaving?: boolean;
+  /** The body, or undefined where it is cut. */
+  readonly body?: string;
+}
+
+const CASES: readonly Case[] = [
+  { name: 'answers whole', answers: [`${HEAD}shade`], kind: 'answered', body: 'shade' },
+  { name: 'cuts its answer', answers: [`${HEAD}sh`, undefined], kind: 'answered' },
+  {
+    name: 'sheds',
+    answers: ['HTTP/1.1 503 No\r\nUpstream-State: shed\r\nContent-Length: 0\r\n\r\n'],
+    kind: 'shed',
+    isLeaving: false,
+  },
+  {
+    name: 'drains',
+    answers: ['HTTP/1.1 503 No\r\nUpstream-State: draining\r\nContent-Length: 0\r\n\r\n'],
+    kind: 'shed',
+    isLeaving: true,
+  },
+  {
+    name: 'fails in some other way, which proves nothing',
+    answers: ['HTTP/1.1 503 No\r\nContent-Length: 5\r\n\r\nshade'],
+    kind: 'answered',
+    body: 'shade',
+  },
+  { name: 'closes when it was asked', answers: [undefined], kind: 'broken' },
+  { name: 'answers nonsense', answers: ['SSH-2.0\r\n\r\n', undefined], kind: 'broken' },
+  { name: 'says nothing', answers: ['silence'], kind: 'timeout' },
+];
+
+function attemptOf(patch: Partial<Attempt> = {}): Attempt {
+  return {
+    service: 'stock',
+    shard: 'stock/west-a/0',
+    method: 'POST',
+    path: '/x',
+    headers: [['X-Kept', 'yes']],
+    body: { head: Buffer.from('lamp'), isWhole: true },
+    requestClass: 'non-idempotent',
+    priority: 'normal',
+    isDeposit: false,
+    fingerprint: 'f',
+    callerZone: 'east-a',
+    deadline: systemClock.now() + 5_000,
+    signal: new AbortController().signal,
+    ...patch,
+  };
+}
+
+describe('HttpTargetConnector', () => {
+  const connector = new HttpTargetConnector(systemClock, () => 4);
+  const requests: string[] = [];
+  let servers: readonly Server[] = [];
+
+  beforeAll(async () => {
+    servers = await Promise.all(
+      CASES.map(async ({ answers }, index) => {
+        const server = createServer((socket) => {
+          socket.on('error', () => {});
+          socket.on('data', (bytes) => {
+            requests.push(bytes.toString());
+            answers.forEach((answer) => {
+              if (answer === undefined) setImmediate(() => socket.destroy());
+              else if (answer !== 'silence') socket.write(answer);
+            });
+          });
+        });
+        await new Promise<void>((resolve) => {
+          server.listen(18_100 + index, HOST, resolve);
+        });
+        return server;
+      }),
+    );
+  });
+
+  afterAll(() => {
+    connector.close();
+    servers.forEach((server) => server.close());
+  });
+
+  const targetAt = (port: number): Target => ({
+    name: `t${port}`,
+    address: `${HOST}:${port}`,
+    zone: 'west-a',
+  });
+
+  async function send(port: number, attempt = attemptOf(), signal = new AbortController().signal) {
+    const sent: ConnectionAge[] = [];
+    const result = await connector.send(targetAt(port), attempt, signal, (age) => sent.push(age));
+    return { result, sent };
+  }
+
+  it.each(CASES.map((row, index) => ({ ...row, port: 18_100 + index })))(
+    'tells what became of a request to a target that $name',
+    async ({ port, kind, isLeaving, body, answers }) => {
+      const controller = new AbortController();
+      const sending = send(port, attemptOf(), controller.signal);
+      if (answers.includes('silence')) setTimeout(() => controller.abort(), 50);
+      const { result, sent } = await sending;
+      expect(result.kind).toBe(kind);
+      expect(sent).toHaveLength(1);
+      if (result.kind === 'shed') expect(result.isLeaving).toBe(isLeaving);
+      if (result.kind !== 'answered') return;
+      const read = result.body.toArray().then((chunks) => Buffer.concat(chunks).toString());
+      if (body === undefined) await expect(read).rejects.toThrow();
+      else expect(await read).toBe(body);
+    },
+  );
+
+  it('proves that nothing ran when no connection was made, or none was tried', async () => {
+    const { result, sent } = await send(CLOSED_PORT);
+    expect([result.kind, sent]).toEqual(['connect-failed', []]);
+    const aborted = new AbortController();
+    aborted.abort();
+    const before = requests.length;
+    const cancelled = await send(18_100, attemptOf(), aborted.signal);
+    expect([cancelled.result.kind, cancelled.sent]).toEqual(['connect-failed', []]);
+    expect(requests.length).toBe(before);
+  });
+
+  it('tells whether the connection was used before', async () => {
+    const first = await send(18_104);
+    if (first.result.kind === 'answered') await first.result.body.toArray();
+    const second = await send(18_104);
+    if (second.result.kind === 'answered') await second.result.body.toArray();
+    expect(second.sent).toEqual(['reused']);
+  });
+
+  it('passes on what a target needs and sends long bodies as they come', async () => {
+    requests.length = 0;
+    const body = { head: Buffer.from('begin-'), isWhole: false, rest: Readable.from(['end']) };
+    const { result } = await send(18_100, attemptOf({ body }));
+    expect(result.kind).toBe('answered');
+    const text = requests.join('');
+    expect(text).toContain('X-Kept: yes'.toLowerCase());
+    expect(text).toContain('cactusrun-caller-zone: east-a');
+    expect(text).toMatch(/cactusrun-deadline-milliseconds: \d+/);
+    expect(text).toContain('begin-');
+  });
+});
--- a/packages/daemon/src/serveFrames.ts
+++ b/packages/daemon/src/serveFrames.ts
@@ -6,6 +6,9 @@
 import type { OutcomeReason } from '@cactusrun/core';
 import type { Readable } from 'node:stream';
 import { answerHeadFrame, refusalFrame } from './frames.js';
+import { headerOf } from './headers.js';
+
+const SHORT_ANSWER_BYTES = 32 * 1024;
 
 /** A request that came from another daemon. */
 export interface ReceivedRequest {
@@ -39,6 +42,35 @@
     stream.end();
     return;
   }
+  if (isShort(answer.headers)) writeShortAnswer(stream, answer);
+  else writeLongAnswer(stream, answer);
+}
+
+type Answered = Extract<FrameAnswer, { kind: 'answered' }>;
+
+/** Whether the answer says that it is short enough to be sent in one frame. */
+function isShort(headers: readonly HeaderField[]): boolean {
+  const length = Number(headerOf(headers, 'content-length'));
+  return Number.isFinite(length) && length <= SHORT_ANSWER_BYTES;
+}
+
+/** One frame holds the whole answer: each frame more costs as much as a small request. */
+function writeShortAnswer(stream: AnswerStream, answer: Answered): void {
+  const { body } = answer;
+  const chunks: Buffer[] = [];
+  body.on('data', (chunk: Buffer) => chunks.push(chunk));
+  body.on('end', () => {
+    const frame = answerHeadFrame(answer);
+    frame.chunk = Buffer.concat(chunks);
+    frame.isLast = true;
+    stream.write(frame);
+    stream.end();
+  });
+  body.on('error', (error) => stream.destroy(error));
+  stream.on('cancelled', () => body.destroy());
+}
+
+function writeLongAnswer(stream: AnswerStream, answer: Answered): void {
   const { body } = answer;
   let pending: AnswerFrame | undefined = answerHeadFrame(answer);
   const flush = (chunk: Buffer, isLast: boolean) => {
