--- a/packages/daemon/src/TicketedRequests.ts
+++ b/packages/daemon/src/TicketedRequests.ts
@@ -69,6 +69,7 @@
       done();
     },
   });
+  rest.on('error', () => {});
   body.rest.on('error', (error) => rest.destroy(error));
   rest.on('close', () => onDigest(undefined));
   body.rest.pipe(rest);
--- a/packages/daemon/src/__tests__/unit/EntryServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/EntryServer.test.ts
@@ -141,6 +141,20 @@
     });
   });
 
+  describe('a long body of a request that is refused', () => {
+    it('may be cut by its caller without harm to the daemon', async () => {
+      answer = async () => ({ kind: 'refused', reason: 'queue-full', detail: '' });
+      const body = 'x'.repeat(100_000);
+      const text = await exchange(
+        `POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n${body}`,
+        'queue-full',
+      );
+      expect(text.startsWith('HTTP/1.1 503')).toBe(true);
+      await exchange('GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n');
+      expect(seen).toHaveLength(2);
+    });
+  });
+
   describe('answers', () => {
     it('are passed on whole, with a fresh ticket', async () => {
       const text = await exchange(
--- a/packages/daemon/src/readBodyHead.ts
+++ b/packages/daemon/src/readBodyHead.ts
@@ -22,6 +22,8 @@
       else done(null, chunk);
     },
   });
+  // A request that was refused leaves its body unread; that it is then cut harms nobody.
+  rest.on('error', () => {});
   request.on('aborted', () => rest.destroy(new Error('request cut')));
   request.on('error', (error) => rest.destroy(error));
   request.pipe(rest);
--- a/packages/daemon/src/sendFrames.ts
+++ b/packages/daemon/src/sendFrames.ts
@@ -26,6 +26,8 @@
 
   constructor(private readonly stream: RequestStream) {
     super();
+    // It may be cut before anybody reads it.
+    this.on('error', () => {});
   }
 
   public receive(frame: AnswerFrame): void {
--- a/packages/daemon/src/serveFrames.ts
+++ b/packages/daemon/src/serveFrames.ts
@@ -108,6 +108,8 @@
   if (first.isLast) return { head, body: { head: body, isWhole: true }, signal, proceed };
   const rest = new PassThrough();
   rest.on('drain', () => stream.resume());
+  // A request that was refused leaves its body unread; that it is then cut harms nobody.
+  rest.on('error', () => {});
   const confirm = () => {
     if (!stream.destroyed && stream.writable) {
       stream.write(create(AnswerFrameSchema, { proceed: true }));
--- a/packages/stand-ins/src/StandInUpstream.ts
+++ b/packages/stand-ins/src/StandInUpstream.ts
@@ -24,6 +24,8 @@
   cutsAnswers: boolean;
   /** The load report says idle, whatever the load. */
   reportsIdle: boolean;
+  /** The load report is this old. */
+  reportLagMilliseconds: number;
   isDraining: boolean;
 }
 
@@ -55,6 +57,8 @@
 
 const HTTP_STATUS = { ok: 200, error: 500, unavailable: 503 } as const;
 const PROBE_MILLISECONDS = 25;
+const MAXIMUM_CONNECTIONS = 330;
+const HISTORY_LENGTH = 10_000;
 const COLD_FACTOR = 3;
 const RESTART_MILLISECONDS = 500;
 
@@ -67,6 +71,7 @@
     crashText: undefined,
     cutsAnswers: false,
     reportsIdle: false,
+    reportLagMilliseconds: 0,
     isDraining: false,
   };
 
@@ -83,6 +88,9 @@
 
   private running = 0;
 
+  /** Requests that ran, with the time since when, for reports that lag. */
+  private readonly history: { readonly since: number; readonly running: number }[] = [];
+
   private startedAt = 0;
 
   private stopServer: Stop | undefined;
@@ -112,9 +120,10 @@
 
   private async listen(): Promise<void> {
     this.startedAt = this.options.clock.now();
-    this.stopServer = await startHttpServer(this.options.address, (request, response) => {
+    const serve = (request: IncomingMessage, response: ServerResponse) => {
       this.serve(request, response).catch(() => response.socket?.destroy());
-    });
+    };
+    this.stopServer = await startHttpServer(this.options.address, serve, MAXIMUM_CONNECTIONS);
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -128,18 +137,18 @@
 
   private async serveProbe(response: ServerResponse): Promise<void> {
     await this.options.clock.sleep(PROBE_MILLISECONDS);
-    const load = this.faults.reportsIdle ? 0 : this.running / this.options.slots;
+    const load = this.faults.reportsIdle ? 0 : this.reportedRunning() / this.options.slots;
     response.writeHead(HTTP_STATUS.ok, { 'content-type': 'application/json' });
     response.end(JSON.stringify({ load, isDraining: this.faults.isDraining }));
   }
 
   private async serveWork(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const startedAt = this.options.clock.now();
-    this.running += 1;
+    this.noteRunning(1);
     this.peak = Math.max(this.peak, this.running);
     let isCounted = true;
     response.on('close', () => {
-      if (isCounted) this.running = Math.max(0, this.running - 1);
+      if (isCounted) this.noteRunning(-1);
       isCounted = false;
     });
     const identity = String(request.headers[IDENTITY_HEADER] ?? '');
@@ -155,6 +164,20 @@
     this.answer(request, response, identity, body);
   }
 
+  private reportedRunning(): number {
+    const { clock } = this.options;
+    const { reportLagMilliseconds } = this.faults;
+    if (reportLagMilliseconds === 0) return this.running;
+    const cutoff = clock.now() - reportLagMilliseconds;
+    return this.history.findLast(({ since }) => since <= cutoff)?.running ?? 0;
+  }
+
+  private noteRunning(change: 1 | -1): void {
+    this.running = Math.max(0, this.running + change);
+    this.history.push({ since: this.options.clock.now(), running: this.running });
+    if (this.history.length > HISTORY_LENGTH) this.history.shift();
+  }
+
   private isCrashing(text: string): boolean {
     return this.faults.crashText !== undefined && text.includes(this.faults.crashText);
   }
