Print colours on terminals only; time a publication from the operator's request

Cause: tried as a new user from a fresh clone: the help printed escape codes into a pipe, and npm start said 'in force after 0 ms', since it timed from a reply that already waits for the log's verdict.

Change: every program colours only a terminal; the time starts before the request.

--- a/packages/bench/src/publishContracts.ts
+++ b/packages/bench/src/publishContracts.ts
@@ -14,7 +14,7 @@
 /**
  * Publishes and waits until the revision is in force on every daemon of the fleet.
  *
- * @returns the time from acceptance to the last daemon, in milliseconds
+ * @returns the time from the operator's request to the last daemon, in milliseconds
  * @throws CactusrunError when the change is refused or does not arrive in time
  */
 export default async function publishContracts(
@@ -22,6 +22,7 @@
   name: DeploymentName,
   clock: Clock,
 ): Promise<number> {
+  const startedAt = clock.now();
   const client = new OperatorClient(operatorAddress(0));
   const reply = await client.change({
     identity: randomUUID(),
@@ -32,7 +33,6 @@
   if (reply.kind !== 'accepted') {
     throw new CactusrunError(JSON.stringify(reply), { step: 'publishing the contracts' });
   }
-  const startedAt = clock.now();
   const isEverywhere = () =>
     fleet.daemons.every((daemon) => daemon.store.current.revision >= (reply.revision ?? 0));
   while (!isEverywhere()) {
--- a/packages/bench/src/runBench.ts
+++ b/packages/bench/src/runBench.ts
@@ -68,6 +68,10 @@
   }
 }
 
-const cli = new Cli({ binaryName: 'npm run bench --', binaryVersion: '0.1.0' });
+const cli = new Cli({
+  enableColors: process.stdout.isTTY === true,
+  binaryName: 'npm run bench --',
+  binaryVersion: '0.1.0',
+});
 cli.register(BenchCommand);
 process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- a/packages/bench/src/runExperiment.ts
+++ b/packages/bench/src/runExperiment.ts
@@ -239,6 +239,10 @@
   }
 }
 
-const cli = new Cli({ binaryName: 'npm run experiment --', binaryVersion: '0.1.0' });
+const cli = new Cli({
+  enableColors: process.stdout.isTTY === true,
+  binaryName: 'npm run experiment --',
+  binaryVersion: '0.1.0',
+});
 cli.register(ExperimentCommand);
 process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- a/packages/bench/src/runSlopes.ts
+++ b/packages/bench/src/runSlopes.ts
@@ -28,6 +28,10 @@
   }
 }
 
-const cli = new Cli({ binaryName: 'npm run bench:slopes --', binaryVersion: '0.1.0' });
+const cli = new Cli({
+  enableColors: process.stdout.isTTY === true,
+  binaryName: 'npm run bench:slopes --',
+  binaryVersion: '0.1.0',
+});
 cli.register(SlopesCommand);
 process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- a/packages/bench/src/startFleet.ts
+++ b/packages/bench/src/startFleet.ts
@@ -106,6 +106,10 @@
   }
 }
 
-const cli = new Cli({ binaryName: 'npm start --', binaryVersion: '0.1.0' });
+const cli = new Cli({
+  enableColors: process.stdout.isTTY === true,
+  binaryName: 'npm start --',
+  binaryVersion: '0.1.0',
+});
 cli.register(StartCommand);
 process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- a/packages/command-line/src/cactusrun.ts
+++ b/packages/command-line/src/cactusrun.ts
@@ -3,7 +3,12 @@
 import { Builtins, Cli } from 'clipanion';
 import RunScriptCommand from './RunScriptCommand.js';
 
-const cli = new Cli({ binaryName: 'cactusrun', binaryLabel: 'cactusrun', binaryVersion: '0.1.0' });
+const cli = new Cli({
+  enableColors: process.stdout.isTTY === true,
+  binaryName: 'cactusrun',
+  binaryLabel: 'cactusrun',
+  binaryVersion: '0.1.0',
+});
 cli.register(RunScriptCommand);
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
--- a/packages/daemon/src/cactusrund.ts
+++ b/packages/daemon/src/cactusrund.ts
@@ -67,6 +67,7 @@
 }
 
 const cli = new Cli({
+  enableColors: process.stdout.isTTY === true,
   binaryName: 'cactusrund',
   binaryLabel: 'cactusrund',
   binaryVersion: '0.1.0',
