Let the fleet of npm start leave gracefully

Cause: an interrupt of npm start ended its daemons as a crash would, and cut uploads in flight.

Change: the first signal lets every daemon leave gracefully, the second one ends at once.

--- a/packages/bench/src/startFleet.ts
+++ b/packages/bench/src/startFleet.ts
@@ -16,6 +16,12 @@
 const LOAD = { lookups: 300, orders: 100, uploads: 6, uploadBytes: 300_000, concurrency: 8 };
 const EXIT = { ok: 0, failed: 1 } as const;
 
+function nextSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    ['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => resolve()));
+  });
+}
+
 class StartCommand extends Command {
   public static override paths = [Command.Default];
 
@@ -99,9 +105,9 @@
     stdout.write(`${table.toString()}\n`);
     stdout.write(`try: curl -i http://${far?.host.callerAddress}${deployment.lookup.path}\n`);
     stdout.write(`try: npx cactusrun --host ${operatorAddress(0)} 'SHOW HOSTS'\n`);
-    await new Promise<void>((resolve) => {
-      ['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => resolve()));
-    });
+    await nextSignal();
+    stdout.write('the daemons leave gracefully; interrupt again to end at once\n');
+    await Promise.race([Promise.all(fleet.daemons.map((daemon) => daemon.stop())), nextSignal()]);
     return EXIT.ok;
   }
 }
