--- a/packages/bench/src/Fleet.ts
+++ b/packages/bench/src/Fleet.ts
@@ -25,7 +25,8 @@
   readonly workMilliseconds?: number;
 }
 
-function hostAddress(index: number, port: number): string {
+/** `ip:port` of a host of a fleet. */
+export function hostAddress(index: number, port: number): string {
   return `127.0.0.${FIRST_HOST_NUMBER + index}:${port}`;
 }
 
@@ -34,7 +35,8 @@
   return hostAddress(index, 9090);
 }
 
-function linkAddress(index: number): string {
+/** `ip:port` of the relay through which a host's peers reach it. */
+export function linkAddress(index: number): string {
   return `127.0.9.${FIRST_HOST_NUMBER + index}:7401`;
 }
 
--- a/packages/daemon/src/__tests__/unit/FakeTargets.ts
+++ b/packages/daemon/src/__tests__/unit/FakeTargets.ts
@@ -18,6 +18,7 @@
 export const IDENTITY = 'x-request-identity';
 export const CRASH_TEXT = 'crash-me';
 const WORK_MILLISECONDS = 20;
+const ABORTED: TargetResult = { kind: 'timeout', detail: 'aborted' };
 
 type Behaviour = (
   run: () => void,
@@ -46,14 +47,14 @@
     const work = async (run: () => void, attempt: Attempt, signal: AbortSignal) => {
       run();
       await clock.sleep(WORK_MILLISECONDS, signal);
-      return signal.aborted ? this.aborted() : answerOf(attempt);
+      return signal.aborted ? ABORTED : answerOf(attempt);
     };
     this.behaviours = {
       healthy: work,
       stalls: async (run, _, signal) => {
         run();
         await clock.sleep(Number.POSITIVE_INFINITY, signal);
-        return this.aborted();
+        return ABORTED;
       },
       'breaks-while-running': async (run) => {
         run();
@@ -107,9 +108,4 @@
     this.running.set(target.name, (this.running.get(target.name) ?? 1) - 1);
     return result;
   }
-
-  // eslint-disable-next-line class-methods-use-this
-  private aborted(): TargetResult {
-    return { kind: 'timeout', detail: 'aborted' };
-  }
 }
