Direct data path with shared evidence, and the platform's adapter: first thin path

Change: package gateway (targets, beliefs of sickness shared by datagrams, placing by expected loss, retry budget by share, one reader of the store a region) and platform/ (settings, store client, decoding, directory).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export { CactusrunError, describeError } from './CactusrunError.js';
 export { systemClock } from './Clock.js';
+export { default as boundedOutput } from './boundedOutput.js';
 export { default as Counters } from './Counters.js';
 export { default as EventChannel } from './EventChannel.js';
 export { invariant, InvariantError } from './invariant.js';
--- /dev/null
+++ b/packages/gateway/src/CallBook.ts
@@ -0,0 +1,123 @@
+/**
+ * The evidence of calls to targets: takes in how this daemon's own calls and those of its peers
+ * ended, and tells peers of the own ones within milliseconds.
+ */
+import type { Clock, Counters, Logger } from '@cactusrun/core';
+import type FleetMembers from './FleetMembers.js';
+import type OutstandingCalls from './OutstandingCalls.js';
+import type { PeerSender } from './PeerLink.js';
+import type { CallOutcome, CallReport } from './PeerMessage.js';
+import type TargetTable from './TargetTable.js';
+import type { KnownTarget } from './TargetTable.js';
+
+/** Reports are gathered this long before they go out together. */
+const GATHER_MILLISECONDS = 2;
+/** No daemon connects to a target for this long after its address refused a connection. */
+const REFUSED_MILLISECONDS = 1_000;
+/** This daemon does not connect for this long after a connection did not come about in time. */
+const UNREACHED_MILLISECONDS = 2_000;
+/** Probability of sickness at which a change of mind is logged. */
+const SUSPECT_PROBABILITY = 0.6;
+
+export default class CallBook {
+  private pending: CallReport[] = [];
+
+  constructor(
+    private readonly selfName: string,
+    private readonly targets: TargetTable,
+    private readonly outstanding: OutstandingCalls,
+    private readonly members: FleetMembers,
+    private readonly link: PeerSender,
+    private readonly clock: Clock,
+    private readonly counters: Counters,
+    private readonly logger: Logger,
+  ) {}
+
+  /** This daemon is about to send a request to the target. */
+  public begin(target: KnownTarget): void {
+    const { id } = target.entry;
+    const outstanding = this.outstanding.add(id, 1);
+    this.targets.get(id)!.usedAt = this.clock.now();
+    this.tell({ target: id, outstanding });
+  }
+
+  /**
+   * A request of this daemon has ended.
+   *
+   * @param outcome - undefined when the end says nothing of the target
+   * @param there - requests that the target said it holds
+   */
+  public end(id: string, outcome: CallOutcome | undefined, there: number | undefined): void {
+    const outstanding = this.outstanding.add(id, -1);
+    if (there !== undefined) this.outstanding.noteSeen(id, there, this.clock.now());
+    if (outcome !== undefined) this.weigh(id, outcome, 'own');
+    this.tell({
+      target: id,
+      outstanding,
+      ...(outcome === undefined ? {} : { outcome }),
+      ...(there === undefined ? {} : { there }),
+    });
+  }
+
+  /** A connection did not come about in time from here; others may still reach the target. */
+  public noteUnreached(id: string): void {
+    const target = this.targets.get(id);
+    if (target === undefined) return;
+    target.blockedUntil = this.clock.now() + UNREACHED_MILLISECONDS;
+    this.counters.add('steering', 'unreached');
+    this.logger.info('target-unreached', { target: id, forMilliseconds: UNREACHED_MILLISECONDS });
+  }
+
+  /** A peer reported on its calls. */
+  public hear(peer: string, reports: readonly CallReport[]): void {
+    const now = this.clock.now();
+    reports.forEach(({ target, outstanding, outcome, there }) => {
+      this.outstanding.learn(peer, target, outstanding);
+      const known = this.targets.get(target);
+      if (known === undefined) return;
+      if (outcome === undefined) known.usedAt = now;
+      if (there !== undefined) this.outstanding.noteSeen(target, there, now);
+      if (outcome !== undefined) this.weigh(target, outcome, peer);
+    });
+  }
+
+  private weigh(id: string, outcome: CallOutcome, source: string): void {
+    const target = this.targets.get(id);
+    if (target === undefined) return;
+    const now = this.clock.now();
+    if (outcome === 'unreachable') target.blockedUntil = now + REFUSED_MILLISECONDS;
+    if (outcome === 'refused') {
+      this.outstanding.noteSeen(id, target.entry.slots * 2, now);
+      return;
+    }
+    const before = target.belief.probabilityAt(now);
+    target.belief.observe(now, outcome !== 'good');
+    const after = target.belief.probabilityAt(now);
+    if (before >= SUSPECT_PROBABILITY === after >= SUSPECT_PROBABILITY) return;
+    this.counters.add('steering', after > before ? 'suspected' : 'cleared');
+    this.logger.info(after > before ? 'target-suspected' : 'target-cleared', {
+      target: id,
+      service: target.entry.service,
+      outcome,
+      source,
+      before: round(before),
+      after: round(after),
+    });
+  }
+
+  private tell(report: CallReport): void {
+    this.pending.push(report);
+    if (this.pending.length > 1) return;
+    this.clock.after(GATHER_MILLISECONDS, () => this.flush());
+  }
+
+  private flush(): void {
+    const reports = this.pending;
+    this.pending = [];
+    this.link.send(this.members.liveAddresses(), { kind: 'calls', sender: this.selfName, reports });
+  }
+}
+
+function round(probability: number): number {
+  return Math.round(probability * 1000) / 1000;
+}
--- /dev/null
+++ b/packages/gateway/src/EntryDirectory.ts
@@ -0,0 +1,40 @@
+/**
+ * Which daemons the callers of a zone use. A few for each zone, the same on every daemon: fewer
+ * entries need fewer connections to targets, and each sees more of them.
+ */
+import { createHash } from 'node:crypto';
+import type FleetMembers from './FleetMembers.js';
+import type { PeerDescription } from './PeerMessage.js';
+
+/** Daemons that one zone's callers are spread over. */
+const ENTRIES_PER_ZONE = 4;
+/** With fewer entries than this in the zone, those of the region help out. */
+const FEWEST_ENTRIES = 2;
+
+export default class EntryDirectory {
+  private readonly ranks = new Map<string, string>();
+
+  constructor(private readonly members: FleetMembers) {}
+
+  /** Addresses for callers of a zone. */
+  public addressesFor(zone: string): readonly string[] {
+    const ready = this.members.region().filter(({ state }) => state === 'ready');
+    const near = this.first(ready.filter((member) => member.zone === zone));
+    const chosen = near.length >= FEWEST_ENTRIES ? near : [...near, ...this.first(ready)];
+    return [...new Set(chosen.map(({ callerAddress }) => callerAddress))];
+  }
+
+  private first(members: readonly PeerDescription[]): readonly PeerDescription[] {
+    return [...members]
+      .sort((left, right) => this.rankOf(left).localeCompare(this.rankOf(right)))
+      .slice(0, ENTRIES_PER_ZONE);
+  }
+
+  private rankOf({ name }: PeerDescription): string {
+    const known = this.ranks.get(name);
+    if (known !== undefined) return known;
+    const rank = createHash('sha1').update(name).digest('base64url');
+    this.ranks.set(name, rank);
+    return rank;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/GatewayStore.ts
@@ -0,0 +1,38 @@
+/** The narrow interface to what lasts: the configuration and the registry of targets. */
+import type { TargetChange } from './TargetEntry.js';
+
+/** A position in the history of one kind of record. */
+export type StorePosition = number;
+
+export interface ConfigurationPage {
+  readonly position: StorePosition;
+  /** The newest document as it was written, if the page holds one. */
+  readonly document: string | undefined;
+}
+
+export interface TargetPage {
+  readonly position: StorePosition;
+  /** Whether the page holds the whole registry; otherwise only what changed since. */
+  readonly isWhole: boolean;
+  readonly changes: readonly TargetChange[];
+}
+
+export interface GatewayStore {
+  /**
+   * Reads what was written after a position, or the newest document without one.
+   *
+   * @param waitMilliseconds - how long the store may hold the call until there is something new
+   * @throws CactusrunError when the store refuses or does not answer
+   */
+  readConfiguration(
+    after: StorePosition | undefined,
+    waitMilliseconds: number,
+    signal: AbortSignal,
+  ): Promise<ConfigurationPage>;
+  /** Reads changes after a position, or the whole registry without one; returns at once. */
+  readTargets(after: StorePosition | undefined, signal: AbortSignal): Promise<TargetPage>;
+  /** The heartbeat addresses that daemons left for those that find no peer. */
+  readPeers(signal: AbortSignal): Promise<readonly string[]>;
+  /** Leaves heartbeat addresses for daemons that start later. */
+  writePeers(group: string, addresses: readonly string[], signal: AbortSignal): Promise<void>;
+}
--- /dev/null
+++ b/packages/gateway/src/PeerLink.ts
@@ -0,0 +1,65 @@
+/** Datagrams between daemons. */
+import type { Socket } from 'node:dgram';
+import { createSocket } from 'node:dgram';
+import type { Counters, Stop } from '@cactusrun/core';
+import { CactusrunError } from '@cactusrun/core';
+import type { PeerMessage } from './PeerMessage.js';
+import { parsePeerMessage } from './PeerMessage.js';
+
+/** Larger messages are not sent: fragments are lost more often, and peers fetch the state instead. */
+const LARGEST_DATAGRAM_BYTES = 16_000;
+
+/** Sends messages to peers; a message may be lost. */
+export interface PeerSender {
+  /** Returns whether the message was small enough to send. */
+  send(addresses: readonly string[], message: PeerMessage): boolean;
+}
+
+export default class PeerLink implements PeerSender {
+  private readonly socket: Socket = createSocket('udp4');
+
+  constructor(
+    private readonly address: string,
+    private readonly counters: Counters,
+    private readonly onMessage: (message: PeerMessage, from: string) => void,
+  ) {}
+
+  /** @throws CactusrunError when the address cannot be bound */
+  public async start(): Promise<Stop> {
+    const [host, port] = this.address.split(':');
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', (error) => {
+        reject(
+          new CactusrunError(error.message, { step: 'binding for peers', peer: this.address }),
+        );
+      });
+      this.socket.bind(Number(port), host, resolve);
+    });
+    this.socket.removeAllListeners('error');
+    this.socket.on('error', () => this.counters.add('datagrams', 'socket-error'));
+    this.socket.on('message', (bytes, from) => {
+      const message = parsePeerMessage(bytes);
+      if (message === undefined) this.counters.add('datagrams', 'not-understood');
+      else this.onMessage(message, `${from.address}:${from.port}`);
+    });
+    return async () => {
+      this.socket.close();
+    };
+  }
+
+  public send(addresses: readonly string[], message: PeerMessage): boolean {
+    if (addresses.length === 0) return true;
+    const bytes = Buffer.from(JSON.stringify(message));
+    if (bytes.length > LARGEST_DATAGRAM_BYTES) {
+      this.counters.add('datagrams', 'too-large');
+      return false;
+    }
+    addresses.forEach((address) => {
+      const [host, port] = address.split(':');
+      this.socket.send(bytes, Number(port), host, (error) => {
+        if (error) this.counters.add('datagrams', 'not-sent');
+      });
+    });
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/PeerMessage.ts
@@ -0,0 +1,87 @@
+/** What daemons tell one another by datagrams. Any of them may be lost, late or repeated. */
+import type { StorePosition } from './GatewayStore.js';
+import type { TargetChange } from './TargetEntry.js';
+
+export type DaemonState = 'starting' | 'ready' | 'leaving';
+
+/** A daemon as it describes itself. */
+export interface PeerDescription {
+  readonly name: string;
+  /** Distinguishes the process from earlier ones under the same name. */
+  readonly incarnation: number;
+  /** `ip:port` of the datagrams and, over TCP, of the state that peers may fetch. */
+  readonly address: string;
+  /** `ip:port` for callers. */
+  readonly callerAddress: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly state: DaemonState;
+  /** Relative capacity for callers' requests. */
+  readonly capacity: number;
+}
+
+/** What a daemon knows of the things that last. */
+export interface KnownVersions {
+  readonly configuration: number;
+  readonly targets: StorePosition;
+  /** Milliseconds since the store last confirmed this, directly or through a peer. */
+  readonly ageMilliseconds: number;
+}
+
+/** How one request to a target ended, as evidence on the target. */
+export type CallOutcome = 'good' | 'failed' | 'refused' | 'unreachable';
+
+/** One target and the sender's requests there; with an outcome when a request has just ended. */
+export interface CallReport {
+  readonly target: string;
+  readonly outstanding: number;
+  readonly outcome?: CallOutcome;
+  /** Requests that the target itself said it holds. */
+  readonly there?: number;
+}
+
+export type PeerMessage =
+  | {
+      readonly kind: 'beat';
+      readonly sender: PeerDescription;
+      readonly versions: KnownVersions;
+      /** All requests of the sender, by target. */
+      readonly outstanding: Readonly<Record<string, number>>;
+    }
+  /** Addresses of daemons, for one that has just come. */
+  | { readonly kind: 'peers'; readonly sender: string; readonly addresses: readonly string[] }
+  | {
+      readonly kind: 'calls';
+      readonly sender: string;
+      readonly reports: readonly CallReport[];
+    }
+  /** What a read of the store brought. */
+  | {
+      readonly kind: 'news';
+      readonly sender: string;
+      readonly versions: KnownVersions;
+      /** The position that the changes follow. */
+      readonly after: StorePosition;
+      readonly changes: readonly TargetChange[];
+    }
+  /** A request broke the connections of this many targets. */
+  | {
+      readonly kind: 'crash';
+      readonly sender: string;
+      readonly fingerprint: string;
+      readonly crashes: number;
+    };
+
+export type PeerMessageKind = PeerMessage['kind'];
+
+const KINDS: readonly string[] = ['beat', 'peers', 'calls', 'news', 'crash'];
+
+/** Reads a datagram; undefined when it is none of this protocol. */
+export function parsePeerMessage(bytes: Buffer): PeerMessage | undefined {
+  try {
+    const message = JSON.parse(bytes.toString('utf8')) as PeerMessage;
+    return KINDS.includes(message.kind) ? message : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/Refusal.ts
@@ -0,0 +1,113 @@
+/** What the gateway itself tells a caller in place of a target's answer. */
+
+export type RefusalReason =
+  | 'no-configuration'
+  | 'no-route'
+  | 'no-target'
+  | 'overloaded'
+  | 'unreachable'
+  | 'refused-by-targets'
+  | 'held-back'
+  | 'too-late'
+  | 'connection-broke'
+  | 'timeout'
+  | 'unsigned-answer'
+  | 'body-too-large'
+  | 'headers-too-large'
+  | 'malformed';
+
+export interface RefusalRule {
+  readonly status: number;
+  /** Whether the request has surely not run, and the caller may come back. */
+  readonly isNotRun: boolean;
+  /** Mean time after which to come back; 0 for none stated. */
+  readonly retryAfterMilliseconds: number;
+  readonly meaning: string;
+}
+
+export const REFUSAL_RULES: Readonly<Record<RefusalReason, RefusalRule>> = {
+  'no-configuration': {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 300,
+    meaning: 'this daemon has no configuration or no registry yet',
+  },
+  'no-route': {
+    status: 404,
+    isNotRun: true,
+    retryAfterMilliseconds: 0,
+    meaning: 'no route in force matches the request',
+  },
+  'no-target': {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 700,
+    meaning: 'no target of the service may receive work',
+  },
+  overloaded: {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 500,
+    meaning: 'no target would answer in time',
+  },
+  unreachable: {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 400,
+    meaning: 'no connection to a target came about',
+  },
+  'refused-by-targets': {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 400,
+    meaning: 'targets refused the request without running it',
+  },
+  'held-back': {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 0,
+    meaning: 'targets that ran this request broke off',
+  },
+  'too-late': {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 0,
+    meaning: 'the time for the request was over before it could be sent',
+  },
+  'connection-broke': {
+    status: 502,
+    isNotRun: false,
+    retryAfterMilliseconds: 0,
+    meaning: 'the connection to the target broke after the request was sent; it may have run',
+  },
+  timeout: {
+    status: 504,
+    isNotRun: false,
+    retryAfterMilliseconds: 0,
+    meaning: 'the target did not answer in time; it may have run',
+  },
+  'unsigned-answer': {
+    status: 502,
+    isNotRun: false,
+    retryAfterMilliseconds: 0,
+    meaning: 'the answer was not a genuine answer of the target; it may have run',
+  },
+  'body-too-large': {
+    status: 413,
+    isNotRun: true,
+    retryAfterMilliseconds: 0,
+    meaning: 'the body is over the limit in force',
+  },
+  'headers-too-large': {
+    status: 431,
+    isNotRun: true,
+    retryAfterMilliseconds: 0,
+    meaning: 'the header fields are over the limit in force',
+  },
+  malformed: {
+    status: 400,
+    isNotRun: true,
+    retryAfterMilliseconds: 0,
+    meaning: 'the request is not well-formed',
+  },
+};
--- /dev/null
+++ b/packages/gateway/src/StateFollower.ts
@@ -0,0 +1,235 @@
+/**
+ * Keeps the state of this daemon up to date at few calls to the store: the first live daemon of a
+ * region reads and tells the others; each of them reads by itself when it has heard nothing for a
+ * while, one after another in order of rank.
+ */
+import type { Clock, Logger, Random, Stop } from '@cactusrun/core';
+import { describeError, mergeStops, pickOne, repeatUntilAborted, startTask } from '@cactusrun/core';
+import type FleetMembers from './FleetMembers.js';
+import type GatewayState from './GatewayState.js';
+import type { StateCopy } from './GatewayState.js';
+import type { GatewayStore, StorePosition, TargetPage } from './GatewayStore.js';
+import type { PeerSender } from './PeerLink.js';
+import type { KnownVersions, PeerMessage } from './PeerMessage.js';
+import type { TargetChange } from './TargetEntry.js';
+
+/** Pause between two reads of the registry, well under the time in which drains must be known. */
+const READ_MILLISECONDS = 600;
+/** Age of the news at which the daemon of the second rank reads by itself. */
+const STALE_MILLISECONDS = 1_100;
+/** Further age for each further rank, and the age at which all ranks read. */
+const RANK_MILLISECONDS = 250;
+const LARGEST_RANK = 8;
+const TICK_MILLISECONDS = 100;
+/** Pause after a failed call, doubled up to the largest. */
+const FAILURE_MILLISECONDS = 400;
+const LARGEST_FAILURE_MILLISECONDS = 2_000;
+/** Longest time that the store holds a read of the configuration. */
+const CONFIGURATION_WAIT_MILLISECONDS = 8_000;
+/** Time for entries that lapsed while the store was away to come back. */
+const RETURN_MILLISECONDS = 2_000;
+/** News this old were not only late: the store was away, and removals may be lapsed entries. */
+const OUTAGE_MILLISECONDS = 3_500;
+const PEER_FETCH_TRIES = 3;
+
+export interface StateFollowerParts {
+  readonly store: GatewayStore;
+  readonly state: GatewayState;
+  readonly members: FleetMembers;
+  readonly link: PeerSender;
+  readonly fetchState: (address: string, signal: AbortSignal) => Promise<StateCopy>;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly selfName: string;
+}
+
+export default class StateFollower {
+  private configurationPosition: StorePosition | undefined;
+
+  private failures = 0;
+
+  private isFetching = false;
+
+  private isStoreLost = false;
+
+  constructor(private readonly parts: StateFollowerParts) {}
+
+  public start(): Stop {
+    const { logger } = this.parts;
+    const fail = (error: unknown) => logger.warn('follower-ended', { cause: describeError(error) });
+    return mergeStops([
+      startTask((signal) => repeatUntilAborted(signal, () => this.followTargets(signal)), fail),
+      startTask(
+        (signal) => repeatUntilAborted(signal, () => this.followConfiguration(signal)),
+        fail,
+      ),
+    ]);
+  }
+
+  /** A peer told what it read from the store. */
+  public hearNews(message: Extract<PeerMessage, { kind: 'news' }>): void {
+    const { state } = this.parts;
+    const { versions } = message;
+    if (message.after === state.position) {
+      state.takeChanges(message.changes, versions.targets, message.sender);
+    }
+    this.compare(versions, message.sender);
+  }
+
+  /** Fetches what a peer knows and this daemon does not. */
+  public compare(versions: KnownVersions, peer: string): void {
+    const { state, members } = this.parts;
+    const own = state.versions();
+    const isBehind = versions.configuration > own.configuration || versions.targets > own.targets;
+    if (!isBehind) {
+      if (versions.targets === own.targets) state.confirm(versions.ageMilliseconds);
+      return;
+    }
+    const address = members.get(peer)?.description.address;
+    if (address !== undefined) this.fetchFrom(address).catch(() => {});
+  }
+
+  /** Fetches the whole state of a peer; a failure is logged. */
+  public async fetchFrom(address: string): Promise<boolean> {
+    if (this.isFetching) return false;
+    this.isFetching = true;
+    const { state, members, logger, fetchState } = this.parts;
+    try {
+      const copy = await fetchState(address, new AbortController().signal);
+      if (copy.document !== undefined) state.takeDocument(copy.document, address);
+      if (copy.versions.targets >= 0) {
+        state.takeTargets(copy.targets, copy.versions.targets, address);
+        state.confirm(copy.versions.ageMilliseconds);
+      }
+      members.rememberAddresses(copy.addresses);
+      return true;
+    } catch (error) {
+      logger.warn('peer-state-not-fetched', { peer: address, cause: describeError(error) });
+      return false;
+    } finally {
+      this.isFetching = false;
+    }
+  }
+
+  private get isReader(): boolean {
+    const { members, state } = this.parts;
+    const rank = members.rank();
+    const { ageMilliseconds } = state.versions();
+    if (!state.isComplete) return true;
+    if (rank === 0) return true;
+    return ageMilliseconds > STALE_MILLISECONDS + Math.min(rank, LARGEST_RANK) * RANK_MILLISECONDS;
+  }
+
+  private async followTargets(signal: AbortSignal): Promise<void> {
+    const { clock } = this.parts;
+    if (!this.isReader) {
+      await clock.sleep(TICK_MILLISECONDS, signal);
+      return;
+    }
+    const isDone = await this.readTargets(signal);
+    await clock.sleep(isDone ? READ_MILLISECONDS : this.pauseAfterFailure(), signal);
+  }
+
+  private async readTargets(signal: AbortSignal): Promise<boolean> {
+    const { store, state, clock } = this.parts;
+    try {
+      const position = state.position < 0 ? undefined : state.position;
+      const wasAway =
+        position !== undefined && state.versions().ageMilliseconds > OUTAGE_MILLISECONDS;
+      const page = await store.readTargets(position, signal);
+      this.noteSuccess();
+      if (!wasAway) {
+        this.takePage(page);
+        return true;
+      }
+      this.takePage({ ...page, isWhole: false, changes: page.changes.filter(isPresence) });
+      await clock.sleep(RETURN_MILLISECONDS, signal);
+      this.takePage(await store.readTargets(undefined, signal));
+      return true;
+    } catch (error) {
+      if (!signal.aborted) await this.noteFailure('reading targets', error);
+      return false;
+    }
+  }
+
+  private takePage(page: TargetPage): void {
+    const { state, members, link, selfName } = this.parts;
+    const after = state.position;
+    const effective = page.isWhole
+      ? state.takeTargets(
+          page.changes.flatMap((change) => (change.kind === 'present' ? [change.entry] : [])),
+          page.position,
+          'store',
+        )
+      : state.takeChanges(page.changes, page.position, 'store');
+    state.confirm(0);
+    const news = { kind: 'news', sender: selfName, versions: state.versions(), after } as const;
+    const isSent = link.send(members.liveAddresses(), { ...news, changes: effective });
+    if (!isSent) link.send(members.liveAddresses(), { ...news, after: -1, changes: [] });
+  }
+
+  private async followConfiguration(signal: AbortSignal): Promise<void> {
+    const { clock, state, store } = this.parts;
+    if (!this.isReader) {
+      this.configurationPosition = undefined;
+      await clock.sleep(TICK_MILLISECONDS, signal);
+      return;
+    }
+    try {
+      const page = await store.readConfiguration(
+        this.configurationPosition,
+        CONFIGURATION_WAIT_MILLISECONDS,
+        signal,
+      );
+      this.configurationPosition = page.position;
+      if (page.document === undefined) return;
+      state.takeDocument(page.document, 'store');
+      this.tellVersions();
+    } catch (error) {
+      if (signal.aborted) return;
+      await this.noteFailure('reading the configuration', error);
+      await clock.sleep(this.pauseAfterFailure(), signal);
+    }
+  }
+
+  private tellVersions(): void {
+    const { state, members, link, selfName } = this.parts;
+    const versions = state.versions();
+    link.send(members.liveAddresses(), {
+      kind: 'news',
+      sender: selfName,
+      versions,
+      after: -1,
+      changes: [],
+    });
+  }
+
+  private noteSuccess(): void {
+    this.failures = 0;
+    if (!this.isStoreLost) return;
+    this.isStoreLost = false;
+    this.parts.logger.info('store-regained');
+  }
+
+  private async noteFailure(step: string, error: unknown): Promise<void> {
+    this.failures += 1;
+    if (!this.isStoreLost) {
+      this.isStoreLost = true;
+      this.parts.logger.warn('store-lost', { step, cause: describeError(error) });
+    }
+    const known = this.parts.members.listAddresses();
+    const address = pickOne(this.parts.random, known.slice(-PEER_FETCH_TRIES * 8));
+    if (address !== undefined) await this.fetchFrom(address);
+  }
+
+  private pauseAfterFailure(): number {
+    const pause = FAILURE_MILLISECONDS * 2 ** Math.min(4, this.failures - 1);
+    const jitter = 0.75 + this.parts.random.unit() / 2;
+    return Math.min(LARGEST_FAILURE_MILLISECONDS, pause) * jitter;
+  }
+}
+
+function isPresence(change: TargetChange): boolean {
+  return change.kind === 'present';
+}
--- /dev/null
+++ b/packages/gateway/src/TargetCall.ts
@@ -0,0 +1,51 @@
+/** What one sending of a request to one target came to. */
+import type { Readable } from 'node:stream';
+
+export type HeaderFields = readonly (readonly [string, string])[];
+
+/** A request as it goes to a target. */
+export interface OutgoingRequest {
+  /** The caller's identity of this attempt, which targets repeat in their answers. */
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  /** End-to-end fields, without those that the gateway sets itself. */
+  readonly fields: HeaderFields;
+  readonly body: Buffer;
+  readonly kind: 'repeatable' | 'once';
+  /** Monotonic time at which the answer must be there. */
+  readonly deadline: number;
+}
+
+export interface TargetAnswer {
+  readonly status: number;
+  readonly fields: HeaderFields;
+  /** The whole body, or its first part when the rest follows. */
+  readonly head: Buffer;
+  readonly rest: Readable | undefined;
+  /** Requests that the target ran and held when it answered, if it says so. */
+  readonly requestsThere: number | undefined;
+  /** Whether the answer carries the target's mark of a genuine answer. */
+  readonly isSigned: boolean;
+}
+
+export type CallResult =
+  | { readonly kind: 'answered'; readonly answer: TargetAnswer }
+  /** The target said that it did not run the request. */
+  | { readonly kind: 'not-executed'; readonly reason: 'full' | 'other-target' | 'refused' }
+  /** No byte of the request was written. */
+  | { readonly kind: 'not-sent'; readonly detail: string; readonly isRefused: boolean }
+  /** The request was written and no whole answer came: it may have run. */
+  | { readonly kind: 'broken'; readonly detail: string; readonly isReused: boolean }
+  | { readonly kind: 'timeout' }
+  | { readonly kind: 'cancelled' };
+
+/** Names of the fields that the gateway sets towards targets and reads from their answers. */
+export interface TargetFieldNames {
+  readonly attemptId: string;
+  readonly deadline: string;
+  readonly expectedTarget: string;
+  readonly notExecuted: string;
+  readonly load: string;
+  readonly signature: string;
+}
--- /dev/null
+++ b/packages/gateway/src/TargetConnections.ts
@@ -0,0 +1,285 @@
+/**
+ * Connections to targets and the exchange of one request on one of them. A connection carries one
+ * request at a time. Bytes that arrive on an idle one belong to no request and end it.
+ */
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { request as httpRequest } from 'node:http';
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
+import { PassThrough } from 'node:stream';
+import type { Clock, Counters } from '@cactusrun/core';
+import { endToEndFields, listFields } from './headerFields.js';
+import type { CallResult, OutgoingRequest, TargetAnswer, TargetFieldNames } from './TargetCall.js';
+import type { TargetEntry } from './TargetEntry.js';
+
+/** Longest wait for a connection: a few round trips between regions, less than a lost packet. */
+const CONNECT_MILLISECONDS = 250;
+/** An idle connection is left this long before the target says that it will close it. */
+const IDLE_MARGIN_MILLISECONDS = 2_000;
+/** Idle time assumed of targets that do not state one. */
+const IDLE_MILLISECONDS = 4_000;
+/** A request that must run once goes on a connection that was used this recently, or a new one. */
+const FRESH_IDLE_MILLISECONDS = 6_000;
+/** Answers up to this size are read whole before the caller gets any of it. */
+const WHOLE_ANSWER_BYTES = 1_048_576;
+const MISDIRECTED_STATUS = 421;
+const SECOND_MILLISECONDS = 1_000;
+
+interface IdleConnection {
+  readonly socket: Socket;
+  readonly idleSince: number;
+  readonly idleMilliseconds: number;
+  readonly onUnexpected: () => void;
+}
+
+export default class TargetConnections {
+  private readonly idle = new Map<string, IdleConnection[]>();
+
+  private isClosed = false;
+
+  constructor(
+    private readonly names: TargetFieldNames,
+    private readonly clock: Clock,
+    private readonly counters: Counters,
+  ) {}
+
+  /** Sends a request once. Never rejects, and never sends a second time by itself. */
+  public async send(
+    target: TargetEntry,
+    request: OutgoingRequest,
+    signal: AbortSignal,
+  ): Promise<CallResult> {
+    const reused = this.takeIdle(target.id, request);
+    if (reused !== undefined) return this.exchange(target, request, reused, true, signal);
+    const socket = await this.open(target, signal);
+    if ('detail' in socket) return socket;
+    return this.exchange(target, request, socket, false, signal);
+  }
+
+  /** Closes the connections of a target that is gone. */
+  public forget(target: string): void {
+    this.idle.get(target)?.forEach(({ socket }) => socket.destroy());
+    this.idle.delete(target);
+  }
+
+  public close(): void {
+    this.isClosed = true;
+    [...this.idle.keys()].forEach((target) => this.forget(target));
+  }
+
+  private takeIdle(target: string, request: OutgoingRequest): Socket | undefined {
+    const now = this.clock.now();
+    const list = this.idle.get(target) ?? [];
+    const isFresh = ({ idleSince, idleMilliseconds }: IdleConnection) =>
+      now - idleSince <
+      (request.kind === 'once'
+        ? Math.min(idleMilliseconds, FRESH_IDLE_MILLISECONDS)
+        : idleMilliseconds);
+    list
+      .filter((connection) => now - connection.idleSince >= connection.idleMilliseconds)
+      .forEach(({ socket }) => socket.destroy());
+    const index = list.findLastIndex((connection) => isFresh(connection));
+    const taken = index < 0 ? undefined : list.splice(index, 1)[0];
+    if (taken === undefined) return undefined;
+    ['data', 'end', 'error', 'close'].forEach((event) => {
+      taken.socket.removeListener(event, taken.onUnexpected);
+    });
+    return taken.socket.destroyed ? undefined : taken.socket;
+  }
+
+  private keep(target: string, socket: Socket, idleMilliseconds: number): void {
+    if (this.isClosed || socket.destroyed || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const list = this.idle.get(target) ?? [];
+    this.idle.set(target, list);
+    const connection: IdleConnection = {
+      socket,
+      idleSince: this.clock.now(),
+      idleMilliseconds,
+      onUnexpected: () => {
+        const index = list.indexOf(connection);
+        if (index >= 0) list.splice(index, 1);
+        socket.destroy();
+      },
+    };
+    ['data', 'end', 'error', 'close'].forEach((event) => {
+      socket.on(event, connection.onUnexpected);
+    });
+    socket.resume();
+    list.push(connection);
+  }
+
+  private open(
+    target: TargetEntry,
+    signal: AbortSignal,
+  ): Promise<Socket | Extract<CallResult, { kind: 'not-sent' }>> {
+    const [host, port] = target.address.split(':');
+    this.counters.add('target_connections', 'opened');
+    return new Promise((resolve) => {
+      const socket = connect({ host: host ?? '', port: Number(port), noDelay: true });
+      let cancel = () => {};
+      const fail = (detail: string, isRefused: boolean) => {
+        cancel();
+        socket.destroy();
+        resolve({ kind: 'not-sent', detail, isRefused });
+      };
+      const onAbort = () => fail('cancelled', false);
+      cancel = this.clock.after(CONNECT_MILLISECONDS, () => fail('no connection in time', false));
+      signal.addEventListener('abort', onAbort, { once: true });
+      socket.on('error', (error: NodeJS.ErrnoException) =>
+        fail(error.message, error.code === 'ECONNREFUSED' || error.code === 'ECONNRESET'),
+      );
+      socket.once('connect', () => {
+        cancel();
+        signal.removeEventListener('abort', onAbort);
+        socket.removeAllListeners('error');
+        socket.on('error', () => socket.destroy());
+        resolve(socket);
+      });
+    });
+  }
+
+  private exchange(
+    target: TargetEntry,
+    request: OutgoingRequest,
+    socket: Socket,
+    isReused: boolean,
+    signal: AbortSignal,
+  ): Promise<CallResult> {
+    return new Promise((resolve) => {
+      let isSettled = false;
+      let stopWaiting = () => {};
+      const settle = (result: CallResult) => {
+        if (isSettled) return;
+        isSettled = true;
+        stopWaiting();
+        resolve(result);
+      };
+      const client = this.write(target, request, socket);
+      const giveUp = (result: CallResult) => {
+        settle(result);
+        client.destroy();
+        socket.destroy();
+      };
+      const cancelTimer = this.clock.after(request.deadline - this.clock.now(), () =>
+        giveUp({ kind: 'timeout' }),
+      );
+      const onAbort = () => giveUp({ kind: 'cancelled' });
+      signal.addEventListener('abort', onAbort, { once: true });
+      stopWaiting = () => {
+        cancelTimer();
+        signal.removeEventListener('abort', onAbort);
+      };
+      const breakOff = (detail: string) => giveUp({ kind: 'broken', detail, isReused });
+      client.on('error', (error) => breakOff(error.message));
+      client.on('close', () => breakOff('connection closed'));
+      client.on('response', (response) => {
+        this.read(response, request, settle, breakOff);
+        socket.once('free', () => this.keep(target.id, socket, this.idleTimeOf(response)));
+      });
+    });
+  }
+
+  private write(target: TargetEntry, request: OutgoingRequest, socket: Socket): ClientRequest {
+    const remaining = Math.max(1, Math.floor(request.deadline - this.clock.now()));
+    const hasBody = request.body.length > 0 || !['GET', 'HEAD'].includes(request.method);
+    const fields = [
+      ...request.fields,
+      [this.names.attemptId, request.id] as const,
+      [this.names.deadline, String(remaining)] as const,
+      [this.names.expectedTarget, target.id] as const,
+      ['connection', 'keep-alive'] as const,
+      ...(hasBody ? [['content-length', String(request.body.length)] as const] : []),
+    ];
+    const client = httpRequest({
+      method: request.method,
+      path: request.path,
+      headers: fields.map(([name, value]) => [name, value]) as never,
+      setHost: false,
+      createConnection: () => socket,
+    });
+    client.end(hasBody ? request.body : undefined);
+    return client;
+  }
+
+  private read(
+    response: IncomingMessage,
+    request: OutgoingRequest,
+    settle: (result: CallResult) => void,
+    breakOff: (detail: string) => void,
+  ): void {
+    const status = response.statusCode ?? 0;
+    const answered = response.headers[this.names.attemptId.toLowerCase()];
+    const refusal = this.refusalOf(response);
+    const isOther = answered !== undefined ? answered !== request.id : isSuccess(status);
+    if (isOther && refusal === undefined) {
+      this.counters.add('target_answers', 'of-another-request');
+      breakOff('answer of another request');
+      return;
+    }
+    const parts: Buffer[] = [];
+    let size = 0;
+    const finish = (rest?: PassThrough) => {
+      if (refusal !== undefined) settle(refusal);
+      else
+        settle({ kind: 'answered', answer: this.describe(response, Buffer.concat(parts), rest) });
+    };
+    const onData = (part: Buffer) => {
+      parts.push(part);
+      size += part.length;
+      if (size <= WHOLE_ANSWER_BYTES) return;
+      response.removeListener('data', onData);
+      const rest = new PassThrough();
+      response.on('error', (error) => rest.destroy(error));
+      response.pipe(rest);
+      finish(rest);
+    };
+    response.on('data', onData);
+    response.on('error', (error) => breakOff(error.message));
+    response.on('end', () => (response.complete ? finish() : breakOff('answer cut short')));
+  }
+
+  private refusalOf(
+    response: IncomingMessage,
+  ): Extract<CallResult, { kind: 'not-executed' }> | undefined {
+    if (response.statusCode === MISDIRECTED_STATUS) {
+      return { kind: 'not-executed', reason: 'other-target' };
+    }
+    if (response.headers[this.names.notExecuted.toLowerCase()] === undefined) return undefined;
+    return { kind: 'not-executed', reason: response.statusCode === 503 ? 'full' : 'refused' };
+  }
+
+  private describe(
+    response: IncomingMessage,
+    head: Buffer,
+    rest: PassThrough | undefined,
+  ): TargetAnswer {
+    const load = response.headers[this.names.load.toLowerCase()];
+    const [running, waiting] = typeof load === 'string' ? load.split(',').map(Number) : [];
+    const requestsThere =
+      running !== undefined && waiting !== undefined && Number.isFinite(running + waiting)
+        ? running + waiting
+        : undefined;
+    return {
+      status: response.statusCode ?? 0,
+      fields: endToEndFields(listFields(response.rawHeaders)),
+      head,
+      rest,
+      requestsThere,
+      isSigned: response.headers[this.names.signature.toLowerCase()] !== undefined,
+    };
+  }
+
+  private idleTimeOf(response: IncomingMessage): number {
+    const stated = /timeout=(\d+)/.exec(String(response.headers['keep-alive'] ?? ''))?.[1];
+    if (stated === undefined) return IDLE_MILLISECONDS;
+    const milliseconds = Number(stated) * SECOND_MILLISECONDS;
+    return Math.max(milliseconds / 2, milliseconds - IDLE_MARGIN_MILLISECONDS);
+  }
+}
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- /dev/null
+++ b/packages/gateway/src/TargetPicker.ts
@@ -0,0 +1,141 @@
+/**
+ * Chooses the target of a request. The cost of a target is the expected loss of sending there: the
+ * chance that it fails the request now, the chance that it falls sick while the request waits and
+ * runs, the chance that the answer is late, and the price of the way. Answers every load: with room
+ * everywhere the soundest target wins, with queues everywhere the shortest wait does.
+ */
+import type { Clock, Random } from '@cactusrun/core';
+import type { RequestKind } from './GatewayConfiguration.js';
+import type OutstandingCalls from './OutstandingCalls.js';
+import type ServiceTimes from './ServiceTimes.js';
+import type TargetTable from './TargetTable.js';
+import type { KnownTarget } from './TargetTable.js';
+
+const MILLISECONDS = 1_000;
+/** Loss per second at a target: the rate at which targets fall sick, as an assumption. */
+const HAZARD_PER_SECOND = 0.1;
+/** A request that may be repeated loses only time by a failure. */
+const IDEMPOTENT_FAILURE_COST = 0.3;
+/** Weight of the expected time over the objective, squared. */
+const LATENESS_COST = 0.6;
+/** Requests that a target holds beyond its slots before it is taken for full. */
+const QUEUE_PER_SLOT = 1;
+/** Price of another availability zone, and of another region by the size of the request. */
+const ZONE_COST = 0.004;
+const REGION_COST = 0.08;
+const REGION_COST_PER_BYTE = 2e-5;
+/** Added time of another region: there and back, with a new connection at times. */
+const REGION_MILLISECONDS = 70;
+/** Work of a target that has just started takes this many times longer. */
+const COLD_FACTOR = 2;
+/** Costs that differ by less are alike; the choice among them is random. */
+const RANDOM_COST = 0.01;
+
+export interface PickQuery {
+  readonly service: string;
+  readonly kind: RequestKind;
+  readonly bodyBytes: number;
+  readonly objectiveMilliseconds: number;
+  /** Time that the caller will still wait. */
+  readonly remainingMilliseconds: number;
+  /** Targets that have had this request, or could not be reached for it. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+export interface Pick {
+  readonly target: KnownTarget;
+  /** Expected time until the answer. */
+  readonly expectedMilliseconds: number;
+  readonly failureProbability: number;
+  readonly requestsThere: number;
+}
+
+export type PickResult =
+  | { readonly kind: 'picked'; readonly pick: Pick }
+  | { readonly kind: 'no-target' }
+  /** No target would answer in time. */
+  | { readonly kind: 'full'; readonly expectedMilliseconds: number };
+
+export interface Place {
+  readonly zone: string;
+  readonly region: string;
+}
+
+export default class TargetPicker {
+  constructor(
+    private readonly place: Place,
+    private readonly regionOf: (zone: string) => string | undefined,
+    private readonly targets: TargetTable,
+    private readonly outstanding: OutstandingCalls,
+    private readonly times: ServiceTimes,
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  public pick(query: PickQuery): PickResult {
+    const now = this.clock.now();
+    const usable = this.targets
+      .usable(query.service)
+      .filter(({ entry }) => !query.excluded.has(entry.id));
+    const reachable = usable.filter(({ blockedUntil }) => blockedUntil <= now);
+    const candidates = reachable.length > 0 ? reachable : usable;
+    const picks = candidates.map((target) => this.estimate(target, query.service, now));
+    const fitting = picks.filter(
+      ({ expectedMilliseconds }) => expectedMilliseconds < query.remainingMilliseconds,
+    );
+    const best = this.cheapest(fitting, query);
+    if (best !== undefined) return { kind: 'picked', pick: best };
+    if (picks.length === 0) return { kind: 'no-target' };
+    const shortest = Math.min(...picks.map(({ expectedMilliseconds }) => expectedMilliseconds));
+    return { kind: 'full', expectedMilliseconds: shortest };
+  }
+
+  private cheapest(picks: readonly Pick[], query: PickQuery): Pick | undefined {
+    return picks
+      .map((pick) => ({ pick, cost: this.costOf(pick, query) }))
+      .reduce<{ pick: Pick; cost: number } | undefined>(
+        (best, next) => (best === undefined || next.cost < best.cost ? next : best),
+        undefined,
+      )?.pick;
+  }
+
+  private estimate(target: KnownTarget, service: string, now: number): Pick {
+    const { entry } = target;
+    const requestsThere = this.outstanding.at(entry.id, now);
+    const cold = target.coldUntil > now ? COLD_FACTOR : 1;
+    const work = this.times.meanOf(service) * this.times.slownessOf(entry.id) * cold;
+    const rounds = Math.max(1, (requestsThere + 1) / entry.slots);
+    const way = this.isFar(entry.zone) ? REGION_MILLISECONDS : 0;
+    return {
+      target,
+      expectedMilliseconds: work * rounds + way,
+      failureProbability: target.belief.failureAt(now),
+      requestsThere,
+    };
+  }
+
+  private costOf(pick: Pick, query: PickQuery): number {
+    const { entry } = pick.target;
+    const seconds = pick.expectedMilliseconds / MILLISECONDS;
+    const failure = pick.failureProbability + HAZARD_PER_SECOND * seconds;
+    const failureCost = query.kind === 'idempotent' ? IDEMPOTENT_FAILURE_COST : 1;
+    const lateness = LATENESS_COST * (pick.expectedMilliseconds / query.objectiveMilliseconds) ** 2;
+    const overflow = pick.requestsThere >= entry.slots * (1 + QUEUE_PER_SLOT) ? 1 : 0;
+    return (
+      failure * failureCost +
+      lateness +
+      overflow +
+      this.wayCost(entry.zone, query.bodyBytes) +
+      this.random.unit() * RANDOM_COST
+    );
+  }
+
+  private wayCost(zone: string, bodyBytes: number): number {
+    if (zone === this.place.zone) return 0;
+    return this.isFar(zone) ? REGION_COST + bodyBytes * REGION_COST_PER_BYTE : ZONE_COST;
+  }
+
+  private isFar(zone: string): boolean {
+    return this.regionOf(zone) !== this.place.region;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,21 @@
+export { chooseService, findRoute } from './GatewayConfiguration.js';
+export { default as SicknessBelief, DEFAULT_SICKNESS_RATES } from './SicknessBelief.js';
+export { default as TargetPicker } from './TargetPicker.js';
+export { default as TargetTable } from './TargetTable.js';
+export { endToEndFields, listFields } from './headerFields.js';
+export { listen } from './PeerStateServer.js';
+export { REFUSAL_RULES } from './Refusal.js';
+export { startGateway } from './wireGateway.js';
+export type { CallerFieldNames } from './CallerServer.js';
+export type {
+  CallerLimits,
+  Destination,
+  GatewayConfiguration,
+  GatewayRoute,
+  RequestKind,
+} from './GatewayConfiguration.js';
+export type { ConfigurationPage, GatewayStore, StorePosition, TargetPage } from './GatewayStore.js';
+export type { Gateway, GatewayOptions } from './wireGateway.js';
+export type { RefusalReason, RefusalRule } from './Refusal.js';
+export type { TargetChange, TargetEntry } from './TargetEntry.js';
+export type { TargetFieldNames } from './TargetCall.js';
