--- /dev/null
+++ b/packages/gateway/src/PeerDiscovery.ts
@@ -0,0 +1,56 @@
+/**
+ * Finds peers through the store when the settings name none that live: the first daemon of a region
+ * leaves the addresses that it knows, and a daemon that hears nobody reads them.
+ */
+import type { Clock, Logger, Stop } from '@cactusrun/core';
+import { describeError, repeatUntilAborted, startTask } from '@cactusrun/core';
+import type FleetMembers from './FleetMembers.js';
+import type { GatewayStore } from './GatewayStore.js';
+
+/** Time for the peers that the settings name to answer. */
+const LONELY_MILLISECONDS = 1_000;
+/** Pause between two looks; also bounds how often addresses are written. */
+const PAUSE_MILLISECONDS = 5_000;
+
+export interface PeerDiscoveryParts {
+  readonly name: string;
+  readonly address: string;
+  readonly store: GatewayStore;
+  readonly members: FleetMembers;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Looks for peers until the returned function is called. */
+export function startPeerDiscovery(parts: PeerDiscoveryParts): Stop {
+  const { clock, members, logger } = parts;
+  let written = '';
+  const step = async (signal: AbortSignal) => {
+    if (members.live().length === 0) await readPeers(parts, signal);
+    if (members.rank() > 0) return;
+    const addresses = [parts.address, ...members.liveAddresses()].sort();
+    const text = addresses.join(',');
+    if (text === written) return;
+    await parts.store.writePeers(parts.name, addresses, signal);
+    written = text;
+  };
+  return startTask(
+    async (signal) => {
+      await clock.sleep(LONELY_MILLISECONDS, signal);
+      await repeatUntilAborted(signal, async () => {
+        await step(signal).catch((error: unknown) => {
+          if (signal.aborted) return;
+          logger.info('peer-addresses-unavailable', { cause: describeError(error) });
+        });
+        await clock.sleep(PAUSE_MILLISECONDS, signal);
+      });
+    },
+    () => {},
+  );
+}
+
+async function readPeers(parts: PeerDiscoveryParts, signal: AbortSignal): Promise<void> {
+  const addresses = await parts.store.readPeers(signal);
+  parts.members.rememberAddresses(addresses);
+  parts.logger.info('peer-addresses-read', { addresses: addresses.length });
+}
--- a/packages/gateway/src/PeerLink.ts
+++ b/packages/gateway/src/PeerLink.ts
@@ -1,7 +1,7 @@
 /** Datagrams between daemons. */
 import type { Socket } from 'node:dgram';
 import { createSocket } from 'node:dgram';
-import type { Counters, Stop } from '@cactusrun/core';
+import type { Counters, Logger, Stop } from '@cactusrun/core';
 import { CactusrunError } from '@cactusrun/core';
 import type { PeerMessage } from './PeerMessage.js';
 import { parsePeerMessage } from './PeerMessage.js';
@@ -21,6 +21,7 @@
   constructor(
     private readonly address: string,
     private readonly counters: Counters,
+    private readonly logger: Logger,
     private readonly onMessage: (message: PeerMessage, from: string) => void,
   ) {}
 
@@ -57,9 +58,17 @@
     addresses.forEach((address) => {
       const [host, port] = address.split(':');
       this.socket.send(bytes, Number(port), host, (error) => {
-        if (error) this.counters.add('datagrams', 'not-sent');
+        if (error) this.noteUnsent(address, error);
       });
     });
     return true;
   }
+
+  /** Counts every datagram that the system would not take, and logs the first. */
+  private noteUnsent(address: string, error: Error): void {
+    if (this.counters.valueOf('datagrams', 'not-sent') === 0) {
+      this.logger.warn('datagram-not-sent', { peer: address, cause: error.message });
+    }
+    this.counters.add('datagrams', 'not-sent');
+  }
 }
--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/TargetConnections.ts
@@ -200,6 +200,8 @@
       setHost: false,
       createConnection: () => socket,
     });
+    // Without an agent, Node takes the connection for one that ends with its first answer.
+    client.shouldKeepAlive = true;
     client.end(hasBody ? request.body : undefined);
     return client;
   }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -12,6 +12,7 @@
 import type { GatewayStore } from './GatewayStore.js';
 import { startHeartbeat } from './Heartbeat.js';
 import OutstandingCalls from './OutstandingCalls.js';
+import { startPeerDiscovery } from './PeerDiscovery.js';
 import PeerLink from './PeerLink.js';
 import type { DaemonState, PeerDescription, PeerMessage } from './PeerMessage.js';
 import { fetchPeerState, servePeerState } from './PeerStateServer.js';
@@ -91,7 +92,7 @@
   const world = buildWorld(options, describeSelf);
   const { members, state, outstanding } = world;
   const handlers: PeerHandlers = {};
-  const link = new PeerLink(options.peerAddress, counters, (message, from) => {
+  const link = new PeerLink(options.peerAddress, counters, logger, (message, from) => {
     dispatch(handlers, message, from);
   });
   const crashes = new CrashWatch(clock, counters, (fingerprint, crashed) => {
@@ -180,6 +181,14 @@
     clock,
   });
   const stopFollower = follower.start();
+  const stopDiscovery = startPeerDiscovery({
+    name: options.name,
+    address: options.peerAddress,
+    store: options.store,
+    members,
+    clock,
+    logger,
+  });
   await server.start();
   const stopServer = async () => {
     daemonState = 'leaving';
@@ -193,7 +202,14 @@
       return daemonState === 'ready';
     },
     addressesFor: (zone) => directory.addressesFor(zone),
-    stop: mergeStops([stopPeerState, stopLink, stopHeartbeat, stopFollower, stopServer]),
+    stop: mergeStops([
+      stopPeerState,
+      stopLink,
+      stopHeartbeat,
+      stopFollower,
+      stopDiscovery,
+      stopServer,
+    ]),
   };
 }
 
