--- a/packages/gateway/src/CallBook.ts
+++ b/packages/gateway/src/CallBook.ts
@@ -3,7 +3,7 @@
  * ended, and tells peers of the own ones within milliseconds.
  */
 import type { Clock, Counters, Logger } from '@cactusrun/core';
-import type FleetMembers from './FleetMembers.js';
+import type EntryDirectory from './EntryDirectory.js';
 import type OutstandingCalls from './OutstandingCalls.js';
 import type { PeerSender } from './PeerLink.js';
 import type { CallOutcome, CallReport } from './PeerMessage.js';
@@ -26,7 +26,7 @@
     private readonly selfName: string,
     private readonly targets: TargetTable,
     private readonly outstanding: OutstandingCalls,
-    private readonly members: FleetMembers,
+    private readonly directory: EntryDirectory,
     private readonly link: PeerSender,
     private readonly clock: Clock,
     private readonly counters: Counters,
@@ -114,7 +114,11 @@
   private flush(): void {
     const reports = this.pending;
     this.pending = [];
-    this.link.send(this.members.liveAddresses(), { kind: 'calls', sender: this.selfName, reports });
+    this.link.send(this.directory.entryAddresses(), {
+      kind: 'calls',
+      sender: this.selfName,
+      reports,
+    });
   }
 }
 
--- a/packages/gateway/src/EntryDirectory.ts
+++ b/packages/gateway/src/EntryDirectory.ts
@@ -3,6 +3,7 @@
  * entries need fewer connections to targets, and each sees more of them.
  */
 import { createHash } from 'node:crypto';
+import type { Clock } from '@cactusrun/core';
 import type FleetMembers from './FleetMembers.js';
 import type { PeerDescription } from './PeerMessage.js';
 
@@ -10,11 +11,35 @@
 const ENTRIES_PER_ZONE = 4;
 /** With fewer entries than this in the zone, those of the region help out. */
 const FEWEST_ENTRIES = 2;
+/** Age at which the list of entries is made anew. */
+const LIST_MILLISECONDS = 200;
 
 export default class EntryDirectory {
   private readonly ranks = new Map<string, string>();
 
-  constructor(private readonly members: FleetMembers) {}
+  private entries: readonly string[] = [];
+
+  private entriesAt = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly members: FleetMembers,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Peer addresses of the other daemons of the region that callers are sent to. */
+  public entryAddresses(): readonly string[] {
+    const now = this.clock.now();
+    if (now - this.entriesAt < LIST_MILLISECONDS) return this.entries;
+    const [self, ...others] = this.members.region();
+    const ready = [self!, ...others].filter(({ state }) => state !== 'starting');
+    const zones = [...new Set(ready.map(({ zone }) => zone))];
+    const entries = zones.flatMap((zone) => this.first(ready.filter((one) => one.zone === zone)));
+    this.entries = entries
+      .map(({ address }) => address)
+      .filter((address) => address !== self?.address);
+    this.entriesAt = now;
+    return this.entries;
+  }
 
   /** Addresses for callers of a zone. */
   public addressesFor(zone: string): readonly string[] {
--- a/packages/gateway/src/FleetMembers.ts
+++ b/packages/gateway/src/FleetMembers.ts
@@ -7,7 +7,7 @@
 
 /** Missed heartbeats after which a member is taken for gone. */
 const MISSED_BEATS = 4;
-export const BEAT_MILLISECONDS = 400;
+export const BEAT_MILLISECONDS = 600;
 const SILENT_MILLISECONDS = MISSED_BEATS * BEAT_MILLISECONDS;
 /** Addresses kept of daemons that may or may not run. */
 const KEPT_ADDRESSES = 400;
@@ -29,7 +29,7 @@
     private readonly onGone: (name: string) => void,
   ) {}
 
-  /** Notes a heartbeat; returns whether the sender was not known before. */
+  /** Notes a daemon's description of itself; returns whether the sender was not known before. */
   public hear(description: PeerDescription): boolean {
     const { name, region } = this.self();
     this.rememberAddresses([description.address]);
@@ -51,6 +51,14 @@
     return isNew;
   }
 
+  /** Notes a sign of life; returns whether its sender is known. */
+  public hearBeat(name: string, incarnation: number): boolean {
+    const known = this.members.get(name);
+    if (known === undefined || known.description.incarnation !== incarnation) return false;
+    this.members.set(name, { ...known, heardAt: this.clock.now() });
+    return true;
+  }
+
   public rememberAddresses(addresses: readonly string[]): void {
     addresses
       .filter((address) => address !== this.self().address)
--- a/packages/gateway/src/Heartbeat.ts
+++ b/packages/gateway/src/Heartbeat.ts
@@ -8,11 +8,12 @@
 
 /** Pause between heartbeats of a daemon that knows no member yet. */
 const LONELY_MILLISECONDS = 100;
-/** Every this many beats the addresses that the settings name are told too. */
-const SEED_BEATS = 8;
+/** Every this many beats the daemon describes itself anew, also to those that the settings name. */
+const HELLO_BEATS = 8;
 
 export interface HeartbeatParts {
-  readonly describe: () => Extract<PeerMessage, { kind: 'beat' }>;
+  readonly beat: () => Extract<PeerMessage, { kind: 'beat' }>;
+  readonly hello: () => Extract<PeerMessage, { kind: 'hello' }>;
   readonly members: FleetMembers;
   readonly link: PeerSender;
   /** Addresses of daemons that the settings name. */
@@ -22,7 +23,7 @@
 
 /** Sends heartbeats until the returned function is called. */
 export function startHeartbeat(parts: HeartbeatParts): Stop {
-  const { describe, members, link, seeds, clock } = parts;
+  const { beat, hello, members, link, seeds, clock } = parts;
   let beats = 0;
   return startTask(
     (signal) =>
@@ -30,9 +31,11 @@
         members.expire();
         const live = members.liveAddresses();
         const isLonely = live.length === 0;
-        const toSeeds = isLonely || beats % SEED_BEATS === 0;
-        const further = toSeeds ? [...seeds, ...(isLonely ? members.listAddresses() : [])] : [];
-        link.send([...new Set([...live, ...further])], describe());
+        if (isLonely || beats % HELLO_BEATS === 0) {
+          const further = isLonely ? members.listAddresses() : [];
+          link.send([...new Set([...live, ...seeds, ...further])], hello());
+        }
+        link.send(live, beat());
         beats += 1;
         await clock.sleep(isLonely ? LONELY_MILLISECONDS : BEAT_MILLISECONDS, signal);
       }),
--- a/packages/gateway/src/PeerLink.ts
+++ b/packages/gateway/src/PeerLink.ts
@@ -3,8 +3,8 @@
 import { createSocket } from 'node:dgram';
 import type { Counters, Logger, Stop } from '@cactusrun/core';
 import { CactusrunError } from '@cactusrun/core';
+import { decodePeerMessage, encodePeerMessage } from './PeerCodec.js';
 import type { PeerMessage } from './PeerMessage.js';
-import { parsePeerMessage } from './PeerMessage.js';
 
 /** Larger messages are not sent: fragments are lost more often, and peers fetch the state instead. */
 const LARGEST_DATAGRAM_BYTES = 16_000;
@@ -39,7 +39,7 @@
     this.socket.removeAllListeners('error');
     this.socket.on('error', () => this.counters.add('datagrams', 'socket-error'));
     this.socket.on('message', (bytes, from) => {
-      const message = parsePeerMessage(bytes);
+      const message = decodePeerMessage(bytes);
       if (message === undefined) this.counters.add('datagrams', 'not-understood');
       else this.onMessage(message, `${from.address}:${from.port}`);
     });
@@ -50,7 +50,7 @@
 
   public send(addresses: readonly string[], message: PeerMessage): boolean {
     if (addresses.length === 0) return true;
-    const bytes = Buffer.from(JSON.stringify(message));
+    const bytes = encodePeerMessage(message);
     if (bytes.length > LARGEST_DATAGRAM_BYTES) {
       this.counters.add('datagrams', 'too-large');
       return false;
--- a/packages/gateway/src/PeerMessage.ts
+++ b/packages/gateway/src/PeerMessage.ts
@@ -41,9 +41,18 @@
 }
 
 export type PeerMessage =
+  /** A daemon describes itself, when it comes, changes or meets another. */
   | {
-      readonly kind: 'beat';
+      readonly kind: 'hello';
       readonly sender: PeerDescription;
+      /** Whether the receiver should describe itself too. */
+      readonly wantsReply: boolean;
+    }
+  /** The sender lives. */
+  | {
+      readonly kind: 'beat';
+      readonly sender: string;
+      readonly incarnation: number;
       readonly versions: KnownVersions;
       /** All requests of the sender, by target. */
       readonly outstanding: Readonly<Record<string, number>>;
@@ -73,15 +82,3 @@
     };
 
 export type PeerMessageKind = PeerMessage['kind'];
-
-const KINDS: readonly string[] = ['beat', 'peers', 'calls', 'news', 'crash'];
-
-/** Reads a datagram; undefined when it is none of this protocol. */
-export function parsePeerMessage(bytes: Buffer): PeerMessage | undefined {
-  try {
-    const message = JSON.parse(bytes.toString('utf8')) as PeerMessage;
-    return KINDS.includes(message.kind) ? message : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gateway/src/RequestProxy.ts
+++ b/packages/gateway/src/RequestProxy.ts
@@ -22,7 +22,7 @@
 /** An answer is given this long before the caller's deadline. */
 const ANSWER_MARGIN_MILLISECONDS = 40;
 /** Connections that are tried for one request. */
-const CONNECT_TRIES = 4;
+const CONNECT_TRIES = 8;
 /** Time that must be left for another sending to be worth it. */
 const SMALLEST_REMAINING_MILLISECONDS = 30;
 const SERVER_ERROR_STATUS = 500;
--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/TargetConnections.ts
@@ -12,8 +12,8 @@
 import type { CallResult, OutgoingRequest, TargetAnswer, TargetFieldNames } from './TargetCall.js';
 import type { TargetEntry } from './TargetEntry.js';
 
-/** Longest wait for a connection: a few round trips between regions, less than a lost packet. */
-const CONNECT_MILLISECONDS = 250;
+/** Longest wait for a connection: some round trips, less than it takes to repeat a lost packet. */
+const CONNECT_MILLISECONDS = 150;
 /** An idle connection is left this long before the target says that it will close it. */
 const IDLE_MARGIN_MILLISECONDS = 2_000;
 /** Idle time assumed of targets that do not state one. */
@@ -159,6 +159,7 @@
       };
       const client = this.write(target, request, socket);
       const giveUp = (result: CallResult) => {
+        if (isSettled) return;
         settle(result);
         client.destroy();
         socket.destroy();
--- a/packages/gateway/src/TargetPicker.ts
+++ b/packages/gateway/src/TargetPicker.ts
@@ -22,14 +22,17 @@
 const QUEUE_PER_SLOT = 1;
 /** Price of another availability zone, and of another region by the size of the request. */
 const ZONE_COST = 0.004;
-const REGION_COST = 0.08;
-const REGION_COST_PER_BYTE = 2e-5;
+const ZONE_COST_PER_BYTE = 3e-6;
+const REGION_COST = 0.06;
+const REGION_COST_PER_BYTE = 2.4e-5;
 /** Added time of another region: there and back, with a new connection at times. */
 const REGION_MILLISECONDS = 70;
 /** Work of a target that has just started takes this many times longer. */
 const COLD_FACTOR = 2;
 /** Costs that differ by less are alike; the choice among them is random. */
 const RANDOM_COST = 0.01;
+/** Gain of the first request to a target that no daemon has used: it has yet to be known. */
+const FIRST_USE_GAIN = 0.4;
 
 export interface PickQuery {
   readonly service: string;
@@ -121,8 +124,10 @@
     const failureCost = query.kind === 'idempotent' ? IDEMPOTENT_FAILURE_COST : 1;
     const lateness = LATENESS_COST * (pick.expectedMilliseconds / query.objectiveMilliseconds) ** 2;
     const overflow = pick.requestsThere >= entry.slots * (1 + QUEUE_PER_SLOT) ? 1 : 0;
+    const firstUse = pick.target.usedAt === 0 && pick.requestsThere === 0 ? FIRST_USE_GAIN : 0;
     return (
-      failure * failureCost +
+      failure * failureCost -
+      firstUse +
       lateness +
       overflow +
       this.wayCost(entry.zone, query.bodyBytes) +
@@ -132,7 +137,9 @@
 
   private wayCost(zone: string, bodyBytes: number): number {
     if (zone === this.place.zone) return 0;
-    return this.isFar(zone) ? REGION_COST + bodyBytes * REGION_COST_PER_BYTE : ZONE_COST;
+    return this.isFar(zone)
+      ? REGION_COST + bodyBytes * REGION_COST_PER_BYTE
+      : ZONE_COST + bodyBytes * ZONE_COST_PER_BYTE;
   }
 
   private isFar(zone: string): boolean {
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -99,11 +99,12 @@
     const message = { kind: 'crash', sender: options.name, fingerprint, crashes: crashed } as const;
     link.send(members.liveAddresses(), message);
   });
+  const directory = new EntryDirectory(members, clock);
   const calls = new CallBook(
     options.name,
     world.targets,
     outstanding,
-    members,
+    directory,
     link,
     clock,
     counters,
@@ -134,47 +135,62 @@
       return proxy.handle(call);
     },
   });
+  const noteReadiness = () => {
+    if (daemonState !== 'starting' || !state.isComplete) return;
+    daemonState = 'ready';
+    link.send(members.liveAddresses(), describeHello(false));
+  };
+  const describeHello = (wantsReply: boolean): Extract<PeerMessage, { kind: 'hello' }> => ({
+    kind: 'hello',
+    sender: describeSelf(),
+    wantsReply,
+  });
   const describeBeat = (): Extract<PeerMessage, { kind: 'beat' }> => {
-    if (daemonState === 'starting' && state.isComplete) daemonState = 'ready';
+    noteReadiness();
     return {
       kind: 'beat',
-      sender: describeSelf(),
+      sender: options.name,
+      incarnation,
       versions: state.versions(),
       outstanding: outstanding.listOwn(),
     };
   };
   Object.assign(handlers, {
-    beat: (message, from) => {
+    hello: (message, from) => {
       const isNew = members.hear(message.sender);
-      if (isNew) {
-        const addresses = [...members.listAddresses(), options.peerAddress];
-        link.send([from], { kind: 'peers', sender: options.name, addresses });
-        link.send([from], describeBeat());
+      if (isNew || message.wantsReply) link.send([from], describeHello(false));
+      if (!isNew) return;
+      const addresses = [...members.listAddresses(), options.peerAddress];
+      link.send([from], { kind: 'peers', sender: options.name, addresses });
+    },
+    beat: (message, from) => {
+      if (!members.hearBeat(message.sender, message.incarnation)) {
+        link.send([from], describeHello(true));
+        return;
       }
-      outstanding.learnAll(message.sender.name, message.outstanding);
-      follower.compare(message.versions, message.sender.name);
+      outstanding.learnAll(message.sender, message.outstanding);
+      follower.compare(message.versions, message.sender);
     },
     peers: (message) => {
       const known = new Set(members.listAddresses());
-      const fresh = message.addresses.filter((address) => !known.has(address));
-      members.rememberAddresses(fresh);
-      link.send(
-        fresh.filter((address) => address !== options.peerAddress),
-        describeBeat(),
+      const fresh = message.addresses.filter(
+        (address) => !known.has(address) && address !== options.peerAddress,
       );
+      members.rememberAddresses(fresh);
+      link.send(fresh, describeHello(true));
     },
     calls: (message) => calls.hear(message.sender, message.reports),
     news: (message) => follower.hearNews(message),
     crash: (message) => crashes.learn(message.fingerprint, message.crashes),
   } satisfies PeerHandlers);
-  const directory = new EntryDirectory(members);
   const stopPeerState = await servePeerState(options.peerAddress, {
     copyState: () => state.copy([...members.listAddresses(), options.peerAddress]),
     renderMetrics: () => counters.render(),
   });
   const stopLink = await link.start();
   const stopHeartbeat = startHeartbeat({
-    describe: describeBeat,
+    beat: describeBeat,
+    hello: () => describeHello(members.live().length === 0),
     members,
     link,
     seeds: options.seeds.filter((seed) => seed !== options.peerAddress),
@@ -192,13 +208,13 @@
   await server.start();
   const stopServer = async () => {
     daemonState = 'leaving';
-    link.send(members.liveAddresses(), describeBeat());
+    link.send(members.liveAddresses(), describeHello(false));
     await leave(server, options);
     world.connections.close();
   };
   return {
     isReady: () => {
-      if (daemonState === 'starting' && state.isComplete) daemonState = 'ready';
+      noteReadiness();
       return daemonState === 'ready';
     },
     addressesFor: (zone) => directory.addressesFor(zone),
