--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/StateFollower.test.ts
@@ -0,0 +1,244 @@
+import type { Stop } from '@cactusrun/core';
+import { CactusrunError, createRandom, ManualClock, silentLogger } from '@cactusrun/core';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import FleetMembers from '../../FleetMembers.js';
+import type { GatewayConfiguration } from '../../GatewayConfiguration.js';
+import type { StateCopy } from '../../GatewayState.js';
+import GatewayState from '../../GatewayState.js';
+import type { GatewayStore, TargetPage } from '../../GatewayStore.js';
+import type { DaemonState, PeerDescription, PeerMessage } from '../../PeerMessage.js';
+import { DEFAULT_SICKNESS_RATES } from '../../SicknessBelief.js';
+import StateFollower from '../../StateFollower.js';
+import type { TargetChange, TargetEntry } from '../../TargetEntry.js';
+import TargetTable from '../../TargetTable.js';
+
+function describeHost(name: string, state: DaemonState = 'ready'): PeerDescription {
+  return {
+    name,
+    incarnation: 1,
+    address: `${name}:1`,
+    callerAddress: `${name}:2`,
+    zone: 'z',
+    region: 'r',
+    state,
+    capacity: 1,
+  };
+}
+
+function createEntry(id: string, isLeaving = false): TargetEntry {
+  return {
+    id,
+    address: '127.0.0.1:1',
+    service: 's',
+    zone: 'z',
+    slots: 2,
+    isLeaving,
+    coldMilliseconds: 0,
+    bornAt: 1,
+  };
+}
+
+function decode(document: string): GatewayConfiguration {
+  const limits = { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 };
+  return { version: Number(document), limits, routes: new Map() };
+}
+
+/** A store in memory whose registry is a list of changes. */
+class MemoryStore implements GatewayStore {
+  public document = '1';
+
+  public isDown = false;
+
+  public calls = 0;
+
+  public readonly log: TargetChange[] = [];
+
+  public readConfiguration(after: number | undefined) {
+    this.check();
+    const position = Number(this.document);
+    const document = after === position ? undefined : this.document;
+    if (document === undefined) return new Promise<never>(() => {});
+    return Promise.resolve({ position, document });
+  }
+
+  public async readTargets(after: number | undefined): Promise<TargetPage> {
+    this.check();
+    const position = this.log.length;
+    if (after !== undefined) {
+      return { position, isWhole: false, changes: this.log.slice(after) };
+    }
+    const newest = new Map(
+      this.log.map((change) => [change.kind === 'present' ? change.entry.id : change.id, change]),
+    );
+    const changes = [...newest.values()].filter(({ kind }) => kind === 'present');
+    return { position, isWhole: true, changes };
+  }
+
+  public async readPeers() {
+    return [];
+  }
+
+  public async writePeers() {}
+
+  private check(): void {
+    this.calls += 1;
+    if (this.isDown) throw new CactusrunError('down', { step: 'reading', peer: 'store' });
+  }
+}
+
+describe('StateFollower', () => {
+  let clock: ManualClock;
+  let store: MemoryStore;
+  let members: FleetMembers;
+  let state: GatewayState;
+  let table: TargetTable;
+  let sent: PeerMessage[];
+  let follower: StateFollower;
+  let stop: Stop;
+  let fetchState: (address: string) => Promise<StateCopy>;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    store = new MemoryStore();
+    store.log.push({ kind: 'present', entry: createEntry('t') });
+    sent = [];
+    const self = () => describeHost('m');
+    members = new FleetMembers(self, clock, silentLogger, () => {});
+    table = new TargetTable(clock, DEFAULT_SICKNESS_RATES);
+    state = new GatewayState(decode, table, clock, silentLogger, () => {});
+    fetchState = () => new Promise(() => {});
+    follower = new StateFollower({
+      store,
+      state,
+      members,
+      link: {
+        send: (_addresses, message) => {
+          sent.push(message);
+          return true;
+        },
+      },
+      fetchState: (address) => fetchState(address),
+      clock,
+      random: createRandom(1),
+      logger: silentLogger,
+      selfName: 'm',
+    });
+    stop = follower.start();
+  });
+
+  afterEach(async () => {
+    const stopped = stop();
+    await clock.advance(10_000);
+    await stopped;
+  });
+
+  function hearNews(sender: string, configuration: number, targets: number): void {
+    members.hear(describeHost(sender));
+    const versions = { configuration, targets, ageMilliseconds: 0 };
+    follower.hearNews({ kind: 'news', sender, versions, after: -1, changes: [] });
+  }
+
+  /** Time in which another daemon's news arrive every half a second. */
+  async function advanceWithNews(milliseconds: number): Promise<void> {
+    const steps = Array.from({ length: milliseconds / 500 });
+    await steps.reduce<Promise<void>>(async (before) => {
+      await before;
+      hearNews('a', Number(store.document), store.log.length);
+      await clock.advance(500);
+    }, Promise.resolve());
+  }
+
+  describe('the first of its region', () => {
+    it('reads the store and tells what changed', async () => {
+      await clock.advance(100);
+      store.log.push({ kind: 'present', entry: createEntry('t', true) });
+      await clock.advance(1_000);
+      expect(state.configuration?.version).toBe(1);
+      expect(table.get('t')?.entry.isLeaving).toBe(true);
+      const told = sent.flatMap((message) => (message.kind === 'news' ? message.changes : []));
+      expect(told).toContainEqual({ kind: 'present', entry: createEntry('t', true) });
+    });
+  });
+
+  describe('another one', () => {
+    it('does not call the store while news come', async () => {
+      await clock.advance(100);
+      hearNews('a', 1, 1);
+      const before = store.calls;
+      await advanceWithNews(10_000);
+      expect(store.calls - before).toBeLessThanOrEqual(2);
+    });
+
+    it('reads by itself soon after the news stop', async () => {
+      await clock.advance(100);
+      await advanceWithNews(2_000);
+      store.log.push({ kind: 'present', entry: createEntry('u') });
+      await clock.advance(2_500);
+      expect(table.get('u')).toBeDefined();
+    });
+
+    it('reads by itself when the peer that knows more does not hand it over', async () => {
+      await clock.advance(100);
+      await advanceWithNews(2_000);
+      store.document = '2';
+      await advanceWithNews(1_500);
+      expect(state.configuration?.version).toBe(2);
+    });
+
+    it('takes the state of a second peer while the first one hangs', async () => {
+      await clock.advance(100);
+      await advanceWithNews(1_000);
+      store.isDown = true;
+      fetchState = (address) =>
+        address === 'a:1'
+          ? new Promise(() => {})
+          : Promise.resolve({
+              document: '2',
+              targets: [createEntry('t')],
+              versions: { configuration: 2, targets: 1, ageMilliseconds: 0 },
+              addresses: [],
+            });
+      hearNews('a', 2, 1);
+      await clock.advance(300);
+      hearNews('b', 2, 1);
+      await clock.advance(100);
+      expect(state.configuration?.version).toBe(2);
+    });
+  });
+
+  describe('a store that was away', () => {
+    it('keeps what is known, and lets lapsed entries come back', async () => {
+      await clock.advance(100);
+      store.isDown = true;
+      await clock.advance(8_000);
+      expect(table.usable('s')).toHaveLength(1);
+      store.log.push({ kind: 'removed', id: 't' });
+      store.isDown = false;
+      await clock.advance(2_200);
+      expect(table.usable('s')).toHaveLength(1);
+      store.log.push({ kind: 'present', entry: createEntry('t') });
+      await clock.advance(4_000);
+      expect(table.usable('s')).toHaveLength(1);
+    });
+
+    it('takes an entry for gone that does not come back', async () => {
+      await clock.advance(100);
+      store.isDown = true;
+      await clock.advance(8_000);
+      store.log.push({ kind: 'removed', id: 't' });
+      store.isDown = false;
+      await clock.advance(6_000);
+      expect(table.usable('s')).toHaveLength(0);
+    });
+  });
+
+  describe('a configuration', () => {
+    it('never goes back to an older version', async () => {
+      store.document = '5';
+      await clock.advance(100);
+      store.document = '4';
+      await clock.advance(20_000);
+      expect(state.configuration?.version).toBe(5);
+    });
+  });
+});
