Fetch state from several peers at once; end unframed answers with the connection

Change: up to three fetches at once, the store read after 0.4 s behind; what ends with its connection at the target does so at the caller.

--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -185,11 +185,13 @@
 
   private passOn(response: ServerResponse, answer: TargetAnswer): void {
     const { head, rest } = answer;
-    const length = rest === undefined ? [['content-length', String(head.length)] as const] : [];
+    const isCounted = rest === undefined && answer.isFramed;
+    // What ends with its connection at the target may have been cut: it ends so here as well.
+    if (!answer.isFramed) response.useChunkedEncodingByDefault = false;
     response.writeHead(answer.status, [
       ...answer.fields.flat(),
-      ...length.flat(),
-      ...this.connectionFields(response),
+      ...(isCounted ? ['content-length', String(head.length)] : []),
+      ...(answer.isFramed ? this.connectionFields(response) : ['connection', 'close']),
     ]);
     if (rest === undefined) {
       response.end(head);
--- a/packages/gateway/src/PeerStateServer.ts
+++ b/packages/gateway/src/PeerStateServer.ts
@@ -7,8 +7,8 @@
 
 const STATE_PATH = '/state';
 const METRICS_PATH = '/metrics';
-/** Longest wait for a peer's state: a few round trips between regions. */
-const FETCH_MILLISECONDS = 1_500;
+/** Longest wait for a peer's state: some round trips between regions and a large configuration. */
+const FETCH_MILLISECONDS = 1_000;
 const OK_STATUS = 200;
 
 export interface PeerStateSources {
--- a/packages/gateway/src/StateFollower.ts
+++ b/packages/gateway/src/StateFollower.ts
@@ -30,7 +30,12 @@
 const RETURN_MILLISECONDS = 2_000;
 /** News this old were not only late: the store was away, and removals may be lapsed entries. */
 const OUTAGE_MILLISECONDS = 3_500;
-const PEER_FETCH_TRIES = 3;
+/** Peers whose state is fetched at the same time. */
+const LARGEST_FETCHES = 3;
+/** A peer among this many that were heard last is asked while the store does not answer. */
+const RECENT_PEERS = 24;
+/** Time for peers to hand over a newer configuration, after which the store is read. */
+const BEHIND_MILLISECONDS = 400;
 
 export interface StateFollowerParts {
   readonly store: GatewayStore;
@@ -49,7 +54,10 @@
 
   private failures = 0;
 
-  private isFetching = false;
+  private readonly fetching = new Set<string>();
+
+  /** Monotonic time since which a peer is known to know a newer configuration. */
+  private behindSince: number | undefined;
 
   private isStoreLost = false;
 
@@ -83,17 +91,19 @@
     const own = state.versions();
     const isBehind = versions.configuration > own.configuration || versions.targets > own.targets;
     if (!isBehind) {
+      this.behindSince = undefined;
       if (versions.targets === own.targets) state.confirm(versions.ageMilliseconds);
       return;
     }
+    if (versions.configuration > own.configuration) this.behindSince ??= this.parts.clock.now();
     const address = members.get(peer)?.description.address;
     if (address !== undefined) this.fetchFrom(address).catch(() => {});
   }
 
   /** Fetches the whole state of a peer; a failure is logged. */
   public async fetchFrom(address: string): Promise<boolean> {
-    if (this.isFetching) return false;
-    this.isFetching = true;
+    if (this.fetching.has(address) || this.fetching.size >= LARGEST_FETCHES) return false;
+    this.fetching.add(address);
     const { state, members, logger, fetchState } = this.parts;
     try {
       const copy = await fetchState(address, new AbortController().signal);
@@ -108,7 +118,7 @@
       logger.warn('peer-state-not-fetched', { peer: address, cause: describeError(error) });
       return false;
     } finally {
-      this.isFetching = false;
+      this.fetching.delete(address);
     }
   }
 
@@ -121,8 +131,14 @@
     return ageMilliseconds > STALE_MILLISECONDS + Math.min(rank, LARGEST_RANK) * RANK_MILLISECONDS;
   }
 
+  private get isBehind(): boolean {
+    if (this.behindSince === undefined) return false;
+    return this.parts.clock.now() - this.behindSince > BEHIND_MILLISECONDS;
+  }
+
   private async followTargets(signal: AbortSignal): Promise<void> {
     const { clock } = this.parts;
+    if (this.isBehind) await this.catchUp(signal);
     if (!this.isReader) {
       await clock.sleep(TICK_MILLISECONDS, signal);
       return;
@@ -131,6 +147,18 @@
     await clock.sleep(isDone ? READ_MILLISECONDS : this.pauseAfterFailure(), signal);
   }
 
+  /** Reads the configuration that a peer knows of and has not handed over. */
+  private async catchUp(signal: AbortSignal): Promise<void> {
+    const { store, state } = this.parts;
+    this.behindSince = this.parts.clock.now();
+    try {
+      const { document } = await store.readConfiguration(undefined, 0, signal);
+      if (document !== undefined) state.takeDocument(document, 'store');
+    } catch (error) {
+      if (!signal.aborted) await this.noteFailure('reading the configuration', error);
+    }
+  }
+
   private async readTargets(signal: AbortSignal): Promise<boolean> {
     const { store, state, clock } = this.parts;
     try {
@@ -185,6 +213,7 @@
       this.configurationPosition = page.position;
       if (page.document === undefined) return;
       state.takeDocument(page.document, 'store');
+      this.behindSince = undefined;
       this.tellVersions();
     } catch (error) {
       if (signal.aborted) return;
@@ -219,7 +248,7 @@
       this.parts.logger.warn('store-lost', { step, cause: describeError(error) });
     }
     const known = this.parts.members.listAddresses();
-    const address = pickOne(this.parts.random, known.slice(-PEER_FETCH_TRIES * 8));
+    const address = pickOne(this.parts.random, known.slice(-RECENT_PEERS));
     if (address !== undefined) await this.fetchFrom(address);
   }
 
--- a/packages/gateway/src/TargetCall.ts
+++ b/packages/gateway/src/TargetCall.ts
@@ -25,6 +25,8 @@
   readonly rest: Readable | undefined;
   /** Requests that the target ran and held when it answered, if it says so. */
   readonly requestsThere: number | undefined;
+  /** Whether the end of the body is known, rather than taken from the end of the connection. */
+  readonly isFramed: boolean;
   /** Whether the answer carries the target's mark of a genuine answer. */
   readonly isSigned: boolean;
 }
--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/TargetConnections.ts
@@ -23,6 +23,7 @@
 /** Answers up to this size are read whole before the caller gets any of it. */
 const WHOLE_ANSWER_BYTES = 1_048_576;
 const MISDIRECTED_STATUS = 421;
+const BODILESS_STATUSES: readonly number[] = [204, 304];
 const SECOND_MILLISECONDS = 1_000;
 
 interface IdleConnection {
@@ -271,6 +272,10 @@
       head,
       rest,
       requestsThere,
+      isFramed:
+        response.headers['content-length'] !== undefined ||
+        response.headers['transfer-encoding'] !== undefined ||
+        BODILESS_STATUSES.includes(response.statusCode ?? 0),
       isSigned: response.headers[this.names.signature.toLowerCase()] !== undefined,
     };
   }
