Take a stalled request for evidence, and send an idempotent one to a second target

Cause: a target that hangs was learned of only when the first request met its deadline, up to 6 s later. Tests: table of outcomes in RequestProxy.test.ts.

--- a/packages/gateway/src/CallBook.ts
+++ b/packages/gateway/src/CallBook.ts
@@ -7,6 +7,7 @@
 import type OutstandingCalls from './OutstandingCalls.js';
 import type { PeerSender } from './PeerLink.js';
 import type { CallOutcome, CallReport } from './PeerMessage.js';
+import type { Observation } from './SicknessBelief.js';
 import type TargetTable from './TargetTable.js';
 import type { KnownTarget } from './TargetTable.js';
 
@@ -19,6 +20,14 @@
 /** Probability of sickness at which a change of mind is logged. */
 const SUSPECT_PROBABILITY = 0.6;
 
+/** What an outcome says of the target's health. */
+const OBSERVATIONS: Readonly<Record<Exclude<CallOutcome, 'refused'>, Observation>> = {
+  good: 'good',
+  failed: 'failed',
+  stalled: 'stalled',
+  unreachable: 'failed',
+};
+
 export default class CallBook {
   private pending: CallReport[] = [];
 
@@ -59,6 +68,13 @@
     });
   }
 
+  /** A request of this daemon takes unusually long. */
+  public noteStall(id: string): void {
+    this.counters.add('steering', 'stalled');
+    this.weigh(id, 'stalled', 'own');
+    this.tell({ target: id, outstanding: this.outstanding.ownAt(id), outcome: 'stalled' });
+  }
+
   /** A connection did not come about in time from here; others may still reach the target. */
   public noteUnreached(id: string): void {
     const target = this.targets.get(id);
@@ -91,7 +107,7 @@
       return;
     }
     const before = target.belief.probabilityAt(now);
-    target.belief.observe(now, outcome !== 'good');
+    target.belief.observe(now, OBSERVATIONS[outcome]);
     const after = target.belief.probabilityAt(now);
     if (before >= SUSPECT_PROBABILITY === after >= SUSPECT_PROBABILITY) return;
     this.counters.add('steering', after > before ? 'suspected' : 'cleared');
--- a/packages/gateway/src/OutstandingCalls.ts
+++ b/packages/gateway/src/OutstandingCalls.ts
@@ -31,6 +31,11 @@
     return Object.fromEntries(this.own);
   }
 
+  /** The requests of this daemon at a target. */
+  public ownAt(target: string): number {
+    return this.own.get(target) ?? 0;
+  }
+
   /** A peer told how many of its requests are at a target. */
   public learn(peer: string, target: string, count: number): void {
     const counts = this.peers.get(peer) ?? new Map<string, number>();
--- a/packages/gateway/src/PeerCodec.ts
+++ b/packages/gateway/src/PeerCodec.ts
@@ -20,7 +20,7 @@
 ] satisfies readonly PeerMessageKind[];
 
 /** Outcomes by their number on the wire; 0 stands for none. */
-const OUTCOMES: readonly CallOutcome[] = ['good', 'failed', 'refused', 'unreachable'];
+const OUTCOMES: readonly CallOutcome[] = ['good', 'failed', 'refused', 'unreachable', 'stalled'];
 const NONE = -1;
 
 /** The bytes of a message. */
--- a/packages/gateway/src/PeerMessage.ts
+++ b/packages/gateway/src/PeerMessage.ts
@@ -28,8 +28,8 @@
   readonly ageMilliseconds: number;
 }
 
-/** How one request to a target ended, as evidence on the target. */
-export type CallOutcome = 'good' | 'failed' | 'refused' | 'unreachable';
+/** How one request to a target ended, or that it has stalled, as evidence on the target. */
+export type CallOutcome = 'good' | 'failed' | 'refused' | 'unreachable' | 'stalled';
 
 /** One target and the sender's requests there; with an outcome when a request has just ended. */
 export interface CallReport {
--- a/packages/gateway/src/RequestProxy.ts
+++ b/packages/gateway/src/RequestProxy.ts
@@ -4,20 +4,18 @@
  * budget of its service.
  */
 import { createHash } from 'node:crypto';
-import type { Clock, Counters, Logger, Random } from '@cactusrun/core';
+import type { Counters, Logger, Random } from '@cactusrun/core';
 import type { CrashWatch } from '@cactusrun/requests';
-import type CallBook from './CallBook.js';
 import type { GatewayRoute } from './GatewayConfiguration.js';
 import { chooseService, findRoute } from './GatewayConfiguration.js';
 import type GatewayState from './GatewayState.js';
-import type { CallOutcome } from './PeerMessage.js';
 import type { RefusalReason } from './Refusal.js';
 import type RetryAllowance from './RetryAllowance.js';
-import type ServiceTimes from './ServiceTimes.js';
 import type { CallResult, HeaderFields, TargetAnswer } from './TargetCall.js';
-import type TargetConnections from './TargetConnections.js';
 import type TargetPicker from './TargetPicker.js';
-import type { Pick } from './TargetPicker.js';
+import type { Pick, PickResult } from './TargetPicker.js';
+import type { TargetRun, TargetRunParts } from './TargetRun.js';
+import { isGood, SERVER_ERROR_STATUS, startTargetRun } from './TargetRun.js';
 
 /** An answer is given this long before the caller's deadline. */
 const ANSWER_MARGIN_MILLISECONDS = 40;
@@ -25,7 +23,6 @@
 const CONNECT_TRIES = 8;
 /** Time that must be left for another sending to be worth it. */
 const SMALLEST_REMAINING_MILLISECONDS = 30;
-const SERVER_ERROR_STATUS = 500;
 
 export interface CallerCall {
   readonly id: string;
@@ -47,15 +44,11 @@
   | { readonly kind: 'refused'; readonly reason: RefusalReason }
   | { readonly kind: 'cancelled' };
 
-export interface RequestProxyParts {
+export interface RequestProxyParts extends TargetRunParts {
   readonly state: GatewayState;
   readonly picker: TargetPicker;
-  readonly calls: CallBook;
-  readonly connections: TargetConnections;
-  readonly times: ServiceTimes;
   readonly crashes: CrashWatch;
   readonly allowanceOf: (service: string) => RetryAllowance;
-  readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
   readonly logger: Logger;
@@ -74,6 +67,8 @@
   /** Targets that it was sent to, run or not. */
   sendings: number;
   connectTries: number;
+  /** Sendings that have not ended. */
+  underWay: number;
   /** The last failure of a target that ran it. */
   failure: CallerOutcome | undefined;
   lastReason: RefusalReason;
@@ -107,6 +102,7 @@
       runs: 0,
       sendings: 0,
       connectTries: 0,
+      underWay: 0,
       failure: undefined,
       lastReason: 'no-target',
     });
@@ -120,67 +116,93 @@
   }
 
   private async attempt(journey: Journey): Promise<Step> {
-    const { picker, clock } = this.parts;
-    const remainingMilliseconds = journey.deadline - clock.now();
-    if (remainingMilliseconds < SMALLEST_REMAINING_MILLISECONDS) {
-      return this.conclude(journey, 'too-late');
+    const remaining = journey.deadline - this.parts.clock.now();
+    if (remaining < SMALLEST_REMAINING_MILLISECONDS) return this.conclude(journey, 'too-late');
+    const picked = this.pick(journey);
+    if (picked.kind === 'no-target') return this.conclude(journey, journey.lastReason);
+    if (picked.kind === 'full') return this.conclude(journey, 'overloaded');
+    if (journey.sendings > 0 && !this.maySendAgain(journey)) {
+      return this.conclude(journey, journey.lastReason);
     }
-    const result = picker.pick({
+    return this.send(journey, picked.pick);
+  }
+
+  private pick(journey: Journey): PickResult {
+    const { picker, clock } = this.parts;
+    return picker.pick({
       service: journey.service,
       kind: journey.route.kind,
       bodyBytes: journey.call.body.length,
       objectiveMilliseconds: journey.route.objectiveMilliseconds,
-      remainingMilliseconds,
+      remainingMilliseconds: journey.deadline - clock.now(),
       excluded: journey.excluded,
     });
-    if (result.kind === 'no-target') return this.conclude(journey, journey.lastReason);
-    if (result.kind === 'full') return this.conclude(journey, 'overloaded');
-    if (journey.sendings > 0 && !this.maySendAgain(journey)) {
-      return this.conclude(journey, journey.lastReason);
-    }
-    return this.send(journey, result.pick);
   }
 
   private maySendAgain(journey: Journey): boolean {
     const { counters, allowanceOf } = this.parts;
-    const isAllowed = journey.sendings < journey.route.maximumAttempts;
+    const isAllowed = journey.sendings + journey.underWay < journey.route.maximumAttempts;
     const isPaid = isAllowed && allowanceOf(journey.service).withdraw();
     const reason = isAllowed ? (isPaid ? 'sent-again' : 'budget-spent') : 'attempts-used';
     counters.add('retries', reason);
     return isPaid;
   }
 
+  /** Sends to the picked target; an idempotent request that stalls there goes to a second one. */
   private async send(journey: Journey, pick: Pick): Promise<Step> {
-    const { calls, connections, clock } = this.parts;
-    const { call, route } = journey;
-    const { entry } = pick.target;
-    journey.excluded.add(entry.id);
-    const startedAt = clock.now();
-    calls.begin(pick.target);
-    const result = await connections.send(
-      entry,
-      {
-        id: call.id,
-        method: call.method,
-        path: call.path,
-        fields: call.fields,
-        body: call.body,
-        kind: route.kind === 'idempotent' ? 'repeatable' : 'once',
-        deadline: journey.deadline,
-      },
-      call.signal,
+    const first = this.start(journey, pick);
+    const ended = first.result.then(() => true);
+    const isOver = await Promise.race([ended, first.stalled.then(() => false)]);
+    const second = isOver ? undefined : this.hedge(journey);
+    return second === undefined
+      ? this.settle(journey, first)
+      : this.settleEither(journey, first, second);
+  }
+
+  private start(journey: Journey, pick: Pick): TargetRun {
+    const { call, route, service, deadline } = journey;
+    journey.excluded.add(pick.target.entry.id);
+    journey.underWay += 1;
+    const request = {
+      id: call.id,
+      method: call.method,
+      path: call.path,
+      fields: call.fields,
+      body: call.body,
+      kind: route.kind === 'idempotent' ? 'repeatable' : 'once',
+      deadline,
+    } as const;
+    return startTargetRun(this.parts, pick, service, request, call.signal);
+  }
+
+  private hedge(journey: Journey): TargetRun | undefined {
+    if (journey.route.kind !== 'idempotent') return undefined;
+    const picked = this.pick(journey);
+    if (picked.kind !== 'picked' || !this.maySendAgain(journey)) return undefined;
+    this.parts.counters.add('retries', 'hedged');
+    return this.start(journey, picked.pick);
+  }
+
+  private async settle(journey: Journey, run: TargetRun): Promise<Step> {
+    const result = await run.result;
+    journey.underWay -= 1;
+    return this.follow(journey, run.target, result);
+  }
+
+  /** The first good answer of two counts, and the other request is cancelled. */
+  private async settleEither(journey: Journey, first: TargetRun, second: TargetRun): Promise<Step> {
+    const winner = await Promise.race(
+      [first, second].map(({ result }, index) => result.then(() => index)),
     );
-    const there = result.kind === 'answered' ? result.answer.requestsThere : undefined;
-    calls.end(entry.id, outcomeOf(result), there);
-    if (isGood(result)) {
-      const rounds = (pick.requestsThere + 1) / entry.slots;
-      this.parts.times.note(journey.service, entry.id, clock.now() - startedAt, rounds);
-    }
-    return this.follow(journey, entry.id, result);
+    const [ended, other] = winner === 0 ? [first, second] : [second, first];
+    const step = await this.settle(journey, ended);
+    if (!isGood(await ended.result)) return this.settle(journey, other);
+    other.cancel();
+    return step;
   }
 
   private follow(journey: Journey, target: string, result: CallResult): Step {
-    const { calls, crashes, counters, logger } = this.parts;
+    const { crashes, counters, logger } = this.parts;
     if (!isGood(result)) {
       counters.add('call_failures', result.kind);
       logger.info('call-failed', {
@@ -201,7 +223,6 @@
         journey.lastReason = 'refused-by-targets';
         return AGAIN;
       case 'not-sent':
-        if (!result.isRefused) calls.noteUnreached(target);
         journey.connectTries += 1;
         journey.lastReason = 'unreachable';
         return journey.connectTries < CONNECT_TRIES ? AGAIN : this.conclude(journey, 'unreachable');
@@ -281,25 +302,6 @@
   return call.receivedAt + waits;
 }
 
-function isGood(result: CallResult): boolean {
-  return result.kind === 'answered' && result.answer.status < SERVER_ERROR_STATUS;
-}
-
-const CALL_OUTCOMES: Readonly<Record<CallResult['kind'], CallOutcome | undefined>> = {
-  answered: 'failed',
-  'not-executed': 'refused',
-  'not-sent': undefined,
-  broken: 'failed',
-  timeout: 'failed',
-  cancelled: undefined,
-};
-
-function outcomeOf(result: CallResult): CallOutcome | undefined {
-  if (isGood(result)) return 'good';
-  if (result.kind === 'not-sent' && result.isRefused) return 'unreachable';
-  return CALL_OUTCOMES[result.kind];
-}
-
 /** Names a request by what its caller sends again: method, path and body. */
 function fingerprintOf(call: CallerCall): string {
   return createHash('sha1')
--- a/packages/gateway/src/ServiceTimes.ts
+++ b/packages/gateway/src/ServiceTimes.ts
@@ -2,7 +2,7 @@
 
 /** Answer time assumed of a service that has not answered yet. */
 const FIRST_MEAN_MILLISECONDS = 300;
-/** Weight of one answer in the mean of a service, and in the slowness of a target. */
+/** Weight of one answer in the mean of a service once many were seen, and in a target's slowness. */
 const SERVICE_WEIGHT = 0.02;
 const TARGET_WEIGHT = 0.2;
 /** A target is never taken for faster than half, nor slower than ten times its peers. */
@@ -12,6 +12,8 @@
 export default class ServiceTimes {
   private readonly means = new Map<string, number>();
 
+  private readonly answers = new Map<string, number>();
+
   private readonly slowness = new Map<string, number>();
 
   /**
@@ -25,7 +27,9 @@
     const ratio = Math.min(LARGEST_SLOWNESS, Math.max(SMALLEST_SLOWNESS, work / mean));
     const before = this.slownessOf(target);
     this.slowness.set(target, before + (ratio - before) * TARGET_WEIGHT);
-    this.means.set(service, mean + (work - mean) * SERVICE_WEIGHT);
+    const answers = (this.answers.get(service) ?? 0) + 1;
+    this.answers.set(service, answers);
+    this.means.set(service, mean + (work - mean) * Math.max(SERVICE_WEIGHT, 1 / (answers + 1)));
   }
 
   /** Mean time of one request alone at a target of the service, in milliseconds. */
--- a/packages/gateway/src/SicknessBelief.ts
+++ b/packages/gateway/src/SicknessBelief.ts
@@ -20,8 +20,25 @@
   readonly failureShareSick: number;
   /** Share of the requests that a well target fails. */
   readonly failureShareWell: number;
+  /** Share of the requests at a sick target, and at a well one, that take unusually long. */
+  readonly stallShareSick: number;
+  readonly stallShareWell: number;
 }
 
+/** What was seen of one request at a target. A stalled one has not ended yet. */
+export type Observation = 'good' | 'failed' | 'stalled';
+
+interface Likelihood {
+  readonly sick: number;
+  readonly well: number;
+}
+
+const LIKELIHOODS: Readonly<Record<Observation, (rates: SicknessRates) => Likelihood>> = {
+  good: (rates) => ({ sick: 1 - rates.failureShareSick, well: 1 - rates.failureShareWell }),
+  failed: (rates) => ({ sick: rates.failureShareSick, well: rates.failureShareWell }),
+  stalled: (rates) => ({ sick: rates.stallShareSick, well: rates.stallShareWell }),
+};
+
 /** Episodes as in a run without injected faults: 9 s long, 30% of the time, 3 in 4 requests failed. */
 export const DEFAULT_SICKNESS_RATES: SicknessRates = {
   onsetPerSecond: 0.045,
@@ -30,6 +47,8 @@
   sickShare: 0.3,
   failureShareSick: 0.75,
   failureShareWell: 0.012,
+  stallShareSick: 0.5,
+  stallShareWell: 0.03,
 };
 
 /** Part of the expected length after which an episode may be over. */
@@ -76,16 +95,14 @@
     return sick * failureShareSick + (1 - sick) * failureShareWell;
   }
 
-  /** Takes in the outcome of one request. */
-  public observe(now: number, hasFailed: boolean): void {
-    const { failureShareSick, failureShareWell } = this.rates;
+  /** Takes in what was seen of one request. */
+  public observe(now: number, observation: Observation): void {
+    const likelihood = LIKELIHOODS[observation](this.rates);
     const prior = this.probabilityAt(now);
-    const likelihoodSick = hasFailed ? failureShareSick : 1 - failureShareSick;
-    const likelihoodWell = hasFailed ? failureShareWell : 1 - failureShareWell;
-    const sick = prior * likelihoodSick;
-    this.probability = sick / (sick + (1 - prior) * likelihoodWell);
+    const sick = prior * likelihood.sick;
+    this.probability = sick / (sick + (1 - prior) * likelihood.well);
     this.updatedAt = now;
-    this.followEpisode(now, hasFailed);
+    this.followEpisode(now, observation === 'failed');
   }
 
   private followEpisode(now: number, hasFailed: boolean): void {
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -0,0 +1,272 @@
+import { Counters, createRandom, ManualClock, silentLogger } from '@cactusrun/core';
+import { CrashWatch } from '@cactusrun/requests';
+import { beforeEach, describe, expect, it } from 'vitest';
+import CallBook from '../../CallBook.js';
+import EntryDirectory from '../../EntryDirectory.js';
+import FleetMembers from '../../FleetMembers.js';
+import type {
+  GatewayConfiguration,
+  GatewayRoute,
+  RequestKind,
+} from '../../GatewayConfiguration.js';
+import GatewayState from '../../GatewayState.js';
+import OutstandingCalls from '../../OutstandingCalls.js';
+import type { CallerCall, CallerOutcome } from '../../RequestProxy.js';
+import RequestProxy from '../../RequestProxy.js';
+import RetryAllowance from '../../RetryAllowance.js';
+import ServiceTimes from '../../ServiceTimes.js';
+import { DEFAULT_SICKNESS_RATES } from '../../SicknessBelief.js';
+import type { CallResult, OutgoingRequest } from '../../TargetCall.js';
+import type TargetConnections from '../../TargetConnections.js';
+import TargetPicker from '../../TargetPicker.js';
+import TargetTable from '../../TargetTable.js';
+
+const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload'];
+
+function answer(status: number, isSigned = true): CallResult {
+  const body = { head: Buffer.from('x'), rest: undefined, isFramed: true };
+  const seen = { requestsThere: undefined, isSigned };
+  return { kind: 'answered', answer: { status, fields: [], ...body, ...seen } };
+}
+
+const RESULTS = {
+  good: answer(200),
+  failed: answer(500),
+  unsigned: answer(200, false),
+  full: { kind: 'not-executed', reason: 'full' },
+  other: { kind: 'not-executed', reason: 'other-target' },
+  unreached: { kind: 'not-sent', detail: 'no connection', isRefused: false },
+  broken: { kind: 'broken', detail: 'reset', isReused: false },
+  timeout: { kind: 'timeout' },
+} as const satisfies Record<string, CallResult>;
+
+type ResultName = keyof typeof RESULTS;
+
+function createRoute(kind: RequestKind): GatewayRoute {
+  return {
+    name: kind,
+    host: 'h',
+    pathPrefix: `/${kind}/`,
+    kind,
+    objectiveMilliseconds: 1_000,
+    priority: 0,
+    timeoutMilliseconds: 2_000,
+    maximumAttempts: 2,
+    destinations: [{ service: 's', weight: 1 }],
+  };
+}
+
+const LIMITS = { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 };
+
+describe('RequestProxy', () => {
+  let clock: ManualClock;
+  let sent: OutgoingRequest[];
+  let script: (target: string, signal: AbortSignal) => Promise<CallResult>;
+  let proxy: RequestProxy;
+  let isKnown: boolean;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    sent = [];
+    isKnown = true;
+    proxy = createProxy();
+  });
+
+  function createProxy(): RequestProxy {
+    const counters = new Counters();
+    const table = new TargetTable(clock, DEFAULT_SICKNESS_RATES);
+    const configuration: GatewayConfiguration = {
+      version: 1,
+      limits: LIMITS,
+      routes: new Map([['h', KINDS.map(createRoute)]]),
+    };
+    const state = new GatewayState(
+      () => configuration,
+      table,
+      clock,
+      silentLogger,
+      () => {},
+    );
+    const targets = Array.from({ length: 10 }, (_, index) => ({
+      id: `t${index}`,
+      address: '127.0.0.1:1',
+      service: 's',
+      zone: 'z',
+      slots: 2,
+      isLeaving: false,
+      coldMilliseconds: 0,
+      bornAt: 1,
+    }));
+    if (isKnown) {
+      state.takeDocument('1', 'test');
+      state.takeTargets(targets, 1, 'test');
+    }
+    const self = () => ({
+      name: 'm',
+      incarnation: 1,
+      address: 'm:1',
+      callerAddress: 'm:2',
+      zone: 'z',
+      region: 'r',
+      state: 'ready' as const,
+      capacity: 1,
+    });
+    const members = new FleetMembers(self, clock, silentLogger, () => {});
+    const outstanding = new OutstandingCalls();
+    const times = new ServiceTimes();
+    const random = createRandom(3);
+    const directory = new EntryDirectory(members, clock);
+    const link = { send: () => true };
+    const calls = new CallBook(
+      'm',
+      table,
+      outstanding,
+      directory,
+      link,
+      clock,
+      counters,
+      silentLogger,
+    );
+    const place = { zone: 'z', region: 'r' };
+    const allowance = new RetryAllowance({ ratio: 0.2, allowance: 20 }, () => 1);
+    const connections = {
+      send: (target: { id: string }, request: OutgoingRequest, signal: AbortSignal) => {
+        sent.push(request);
+        return script(target.id, signal);
+      },
+      forget: () => {},
+    };
+    return new RequestProxy({
+      state,
+      picker: new TargetPicker(place, () => 'r', table, outstanding, times, clock, random),
+      calls,
+      connections: connections as unknown as TargetConnections,
+      times,
+      crashes: new CrashWatch(clock, counters, () => {}),
+      allowanceOf: () => allowance,
+      clock,
+      random,
+      counters,
+      logger: silentLogger,
+    });
+  }
+
+  function createCall(kind: RequestKind, change: Partial<CallerCall> = {}): CallerCall {
+    return {
+      id: 'a',
+      host: 'h',
+      method: 'POST',
+      path: `/${kind}/x`,
+      fields: [],
+      body: Buffer.from('b'),
+      deadlineMilliseconds: 1_500,
+      receivedAt: clock.now(),
+      signal: new AbortController().signal,
+      ...change,
+    };
+  }
+
+  function answerInTurn(...names: readonly ResultName[]): void {
+    const left = [...names];
+    script = async () => RESULTS[left.shift() ?? 'good'];
+  }
+
+  function describeOutcome(outcome: CallerOutcome): string {
+    if (outcome.kind === 'answered') return String(outcome.answer.status);
+    return outcome.kind === 'refused' ? outcome.reason : outcome.kind;
+  }
+
+  /** Kind, results in turn, outcome, sendings. */
+  const CASES: readonly (readonly [RequestKind, readonly ResultName[], string, number])[] = [
+    ['idempotent', ['good'], '200', 1],
+    ['idempotent', ['failed', 'good'], '200', 2],
+    ['idempotent', ['failed', 'failed', 'good'], '500', 2],
+    ['idempotent', ['broken', 'good'], '200', 2],
+    ['idempotent', ['timeout', 'good'], '200', 2],
+    ['idempotent', ['unsigned', 'good'], '200', 2],
+    ['idempotent', ['broken', 'failed'], '500', 2],
+    ['non-idempotent', ['failed', 'good'], '500', 1],
+    ['non-idempotent', ['broken', 'good'], 'connection-broke', 1],
+    ['non-idempotent', ['timeout', 'good'], 'timeout', 1],
+    ['non-idempotent', ['unsigned', 'good'], 'unsigned-answer', 1],
+    ['non-idempotent', ['full', 'good'], '200', 2],
+    ['non-idempotent', ['other', 'good'], '200', 2],
+    ['non-idempotent', ['full', 'full', 'good'], 'refused-by-targets', 2],
+    ['non-idempotent', ['full', 'broken'], 'connection-broke', 2],
+    ['non-idempotent', ['unreached', 'unreached', 'good'], '200', 3],
+    ['upload', ['broken', 'good'], 'connection-broke', 1],
+    ['upload', ['full', 'good'], '200', 2],
+    ['upload', Array.from({ length: 8 }, () => 'unreached' as const), 'unreachable', 8],
+  ];
+
+  describe('outcomes', () => {
+    CASES.forEach(([kind, results, expected, sendings]) => {
+      it(`${kind}: ${results.join(', ')} gives ${expected}`, async () => {
+        answerInTurn(...results);
+        const outcome = await proxy.handle(createCall(kind));
+        expect(describeOutcome(outcome)).toBe(expected);
+        expect(sent).toHaveLength(sendings);
+      });
+    });
+  });
+
+  describe('requests that cannot be served', () => {
+    it('are refused at once without a configuration', async () => {
+      isKnown = false;
+      proxy = createProxy();
+      const outcome = await proxy.handle(createCall('idempotent'));
+      expect(describeOutcome(outcome)).toBe('no-configuration');
+    });
+
+    it('are refused at once without a route', async () => {
+      const outcome = await proxy.handle(createCall('idempotent', { path: '/none/x' }));
+      expect(describeOutcome(outcome)).toBe('no-route');
+    });
+
+    it('are not sent when their time is over', async () => {
+      const call = createCall('idempotent', { deadlineMilliseconds: 50 });
+      expect(describeOutcome(await proxy.handle(call))).toBe('too-late');
+      expect(sent).toHaveLength(0);
+    });
+  });
+
+  describe('time', () => {
+    it('passes on what is left of the shorter of deadline and route', async () => {
+      answerInTurn('good', 'good');
+      await proxy.handle(createCall('idempotent', { deadlineMilliseconds: 9_000 }));
+      await proxy.handle(createCall('idempotent', { deadlineMilliseconds: 900 }));
+      expect(sent.map(({ deadline }) => deadline)).toEqual([2_000, 860]);
+    });
+  });
+
+  describe('a request that stalls', () => {
+    it('goes to a second target if it may be repeated, and the first one is cancelled', async () => {
+      const signals: AbortSignal[] = [];
+      script = (_target, signal) => {
+        signals.push(signal);
+        return signals.length === 1 ? new Promise(() => {}) : Promise.resolve(RESULTS.good);
+      };
+      const handled = proxy.handle(createCall('idempotent'));
+      await clock.advance(1_200);
+      expect(describeOutcome(await handled)).toBe('200');
+      expect(signals.map(({ aborted }) => aborted)).toEqual([true, false]);
+    });
+
+    it('stays where it is if it must run once', async () => {
+      script = () => new Promise(() => {});
+      proxy.handle(createCall('non-idempotent')).catch(() => {});
+      await clock.advance(1_400);
+      expect(sent).toHaveLength(1);
+    });
+  });
+
+  describe('a request that breaks the targets that run it', () => {
+    it('is held back after the second one', async () => {
+      answerInTurn('broken', 'broken', 'good');
+      await proxy.handle(createCall('idempotent'));
+      const again = await proxy.handle(createCall('idempotent'));
+      expect(describeOutcome(again)).toBe('held-back');
+      expect(sent).toHaveLength(2);
+    });
+  });
+});
--- a/packages/gateway/src/__tests__/unit/SicknessBelief.test.ts
+++ b/packages/gateway/src/__tests__/unit/SicknessBelief.test.ts
@@ -10,14 +10,14 @@
   describe('with one observation', () => {
     it('takes a target for sick after one failure', () => {
       const belief = createBelief();
-      belief.observe(10, true);
+      belief.observe(10, 'failed');
       expect(belief.probabilityAt(10)).toBeGreaterThan(0.9);
     });
 
     it('takes a target for well after two good answers', () => {
       const belief = createBelief();
-      belief.observe(10, false);
-      belief.observe(20, false);
+      belief.observe(10, 'good');
+      belief.observe(20, 'good');
       expect(belief.probabilityAt(20)).toBeLessThan(0.05);
     });
   });
@@ -25,16 +25,16 @@
   describe('with time', () => {
     it('stays sick for most of an episode and recovers soon after it', () => {
       const belief = createBelief();
-      belief.observe(0, true);
+      belief.observe(0, 'failed');
       expect(belief.probabilityAt(6_000)).toBeGreaterThan(0.8);
       expect(belief.probabilityAt(12_000)).toBeLessThan(0.25);
     });
 
     it('loses certainty of a well target slowly', () => {
       const belief = createBelief();
-      belief.observe(0, false);
-      belief.observe(1, false);
-      belief.observe(2, false);
+      belief.observe(0, 'good');
+      belief.observe(1, 'good');
+      belief.observe(2, 'good');
       const soon = belief.probabilityAt(500);
       const later = belief.probabilityAt(5_000);
       expect(soon).toBeLessThan(0.05);
@@ -44,7 +44,7 @@
 
     it('does not run backwards', () => {
       const belief = createBelief();
-      belief.observe(100, true);
+      belief.observe(100, 'failed');
       expect(belief.probabilityAt(50)).toBe(belief.probabilityAt(100));
     });
   });
@@ -53,9 +53,9 @@
     it('grows with failures late in an episode', () => {
       const length = new EpisodeLength();
       const belief = createBelief(length);
-      belief.observe(0, true);
+      belief.observe(0, 'failed');
       const before = length.milliseconds;
-      belief.observe(before + 4_000, true);
+      belief.observe(before + 4_000, 'failed');
       expect(length.milliseconds).toBe(before + 2_000);
     });
 
@@ -63,8 +63,8 @@
       const length = new EpisodeLength();
       const belief = createBelief(length);
       const before = length.milliseconds;
-      belief.observe(0, true);
-      Array.from({ length: 6 }).forEach((_, index) => belief.observe(2_000 + index, false));
+      belief.observe(0, 'failed');
+      Array.from({ length: 6 }).forEach((_, index) => belief.observe(2_000 + index, 'good'));
       expect(length.milliseconds).toBeLessThan(before);
     });
   });
--- a/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
@@ -57,7 +57,9 @@
   }
 
   function observe(id: string, ...failures: readonly boolean[]): void {
-    failures.forEach((hasFailed) => table.get(id)!.belief.observe(clock.now(), hasFailed));
+    failures.forEach((hasFailed) =>
+      table.get(id)!.belief.observe(clock.now(), hasFailed ? 'failed' : 'good'),
+    );
   }
 
   function pickId(query: Partial<PickQuery> = {}): string {
