Let isolated daemons read on, members find one another again, and evidence reach whoever serves

Change: only news of other daemons excuse from reading; lost members are tried again and told of in gossip; reports go to members that serve, heartbeats carry the sick targets. Test in StateFollower.test.ts failed first.

--- a/packages/gateway/src/EntryDirectory.ts
+++ b/packages/gateway/src/EntryDirectory.ts
@@ -26,7 +26,7 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Peer addresses of the other daemons of the region that callers are sent to. */
+  /** Peer addresses of the other daemons of the region that serve callers, or are soon to. */
   public entryAddresses(): readonly string[] {
     const now = this.clock.now();
     if (now - this.entriesAt < LIST_MILLISECONDS) return this.entries;
@@ -34,9 +34,9 @@
     const ready = [self!, ...others].filter(({ state }) => state !== 'starting');
     const zones = [...new Set(ready.map(({ zone }) => zone))];
     const entries = zones.flatMap((zone) => this.first(ready.filter((one) => one.zone === zone)));
-    this.entries = entries
-      .map(({ address }) => address)
-      .filter((address) => address !== self?.address);
+    const active = others.filter(({ name }) => this.members.isActive(name));
+    const serving = [...entries, ...active].map(({ address }) => address);
+    this.entries = [...new Set(serving)].filter((address) => address !== self?.address);
     this.entriesAt = now;
     return this.entries;
   }
--- a/packages/gateway/src/FleetMembers.ts
+++ b/packages/gateway/src/FleetMembers.ts
@@ -3,12 +3,14 @@
  * heartbeats; of other regions only addresses are kept, for daemons that start.
  */
 import type { Clock, Logger } from '@cactusrun/core';
-import type { PeerDescription } from './PeerMessage.js';
+import type { PeerAddress, PeerDescription } from './PeerMessage.js';
 
 /** Missed heartbeats after which a member is taken for gone. */
 const MISSED_BEATS = 4;
 export const BEAT_MILLISECONDS = 600;
 const SILENT_MILLISECONDS = MISSED_BEATS * BEAT_MILLISECONDS;
+/** A member that told of no request for this long has no need of evidence. */
+const ACTIVE_MILLISECONDS = 3_000;
 /** Addresses kept of daemons that may or may not run. */
 const KEPT_ADDRESSES = 400;
 
@@ -20,7 +22,11 @@
 export default class FleetMembers {
   private readonly members = new Map<string, Member>();
 
-  private readonly addresses = new Set<string>();
+  /** Region of each daemon that was ever told of, by address; the newest last. */
+  private readonly peers = new Map<string, string | undefined>();
+
+  /** Monotonic time at which each member last told of a request. */
+  private readonly activeAt = new Map<string, number>();
 
   constructor(
     private readonly self: () => PeerDescription,
@@ -32,7 +38,7 @@
   /** Notes a daemon's description of itself; returns whether the sender was not known before. */
   public hear(description: PeerDescription): boolean {
     const { name, region } = this.self();
-    this.rememberAddresses([description.address]);
+    this.remember([description]);
     if (description.name === name || description.region !== region) return false;
     const known = this.members.get(description.name);
     if (known !== undefined && known.description.incarnation > description.incarnation) {
@@ -59,23 +65,55 @@
     return true;
   }
 
-  public rememberAddresses(addresses: readonly string[]): void {
-    addresses
-      .filter((address) => address !== this.self().address)
-      .forEach((address) => {
-        this.addresses.delete(address);
-        this.addresses.add(address);
-      });
-    [...this.addresses]
-      .slice(0, Math.max(0, this.addresses.size - KEPT_ADDRESSES))
+  /** Keeps addresses of daemons; returns those in the own region, or anywhere, that are not live. */
+  public remember(told: readonly PeerAddress[]): readonly string[] {
+    const { address: own, region: ownRegion } = this.self();
+    const others = told.filter(({ address }) => address !== own);
+    others.forEach(({ address, region }) => {
+      const known = region ?? this.peers.get(address);
+      this.peers.delete(address);
+      this.peers.set(address, known);
+    });
+    [...this.peers.keys()]
+      .slice(0, Math.max(0, this.peers.size - KEPT_ADDRESSES))
       .forEach((old) => {
-        this.addresses.delete(old);
+        this.peers.delete(old);
       });
+    return this.notLive(
+      others.filter(({ region }) => region === undefined || region === ownRegion),
+    );
+  }
+
+  /** Every daemon that was ever told of, newest last. */
+  public known(): readonly PeerAddress[] {
+    return [...this.peers].map(([address, region]) => ({
+      address,
+      ...(region === undefined ? {} : { region }),
+    }));
+  }
+
+  /** Addresses of the own region, or of none known, from which nothing is heard. */
+  public lost(): readonly string[] {
+    const { region: own } = this.self();
+    return this.notLive(
+      this.known().filter(({ region }) => region === undefined || region === own),
+    );
   }
 
-  /** Every address that was ever told, newest last. */
-  public listAddresses(): readonly string[] {
-    return [...this.addresses];
+  private notLive(peers: readonly PeerAddress[]): readonly string[] {
+    const live = new Set(this.liveAddresses());
+    return peers.map(({ address }) => address).filter((address) => !live.has(address));
+  }
+
+  /** A member told of a request of its own. */
+  public noteActive(name: string): void {
+    this.activeAt.set(name, this.clock.now());
+  }
+
+  /** Whether the member has sent requests of late. */
+  public isActive(name: string): boolean {
+    const at = this.activeAt.get(name);
+    return at !== undefined && this.clock.now() - at < ACTIVE_MILLISECONDS;
   }
 
   /** Drops members that are silent. */
@@ -103,6 +141,11 @@
     return this.live().map(({ description }) => description.address);
   }
 
+  /** The live members and this daemon, as peers are told of them. */
+  public liveAndSelf(): readonly PeerAddress[] {
+    return this.region().map(({ address, region }) => ({ address, region }));
+  }
+
   public get(name: string): Member | undefined {
     return this.members.get(name);
   }
@@ -114,7 +157,7 @@
 
   /** Daemons of the whole fleet, as far as known; at least the own region's. */
   public countFleet(): number {
-    return Math.max(this.members.size + 1, this.addresses.size + 1);
+    return Math.max(this.members.size + 1, this.peers.size + 1);
   }
 
   /** Place of this daemon among those of the region that may read the store for all; 0 is first. */
--- a/packages/gateway/src/GatewayState.ts
+++ b/packages/gateway/src/GatewayState.ts
@@ -3,7 +3,7 @@
 import { describeError } from '@cactusrun/core';
 import type { GatewayConfiguration } from './GatewayConfiguration.js';
 import type { StorePosition } from './GatewayStore.js';
-import type { KnownVersions } from './PeerMessage.js';
+import type { KnownVersions, PeerAddress } from './PeerMessage.js';
 import type { TargetChange, TargetEntry } from './TargetEntry.js';
 import type TargetTable from './TargetTable.js';
 
@@ -13,7 +13,7 @@
   readonly document: string | undefined;
   readonly targets: readonly TargetEntry[];
   readonly versions: KnownVersions;
-  readonly addresses: readonly string[];
+  readonly peers: readonly PeerAddress[];
 }
 
 const NO_VERSION = -1;
@@ -100,12 +100,12 @@
     return this.changeTargets(this.targets.apply(changes), position, source);
   }
 
-  public copy(addresses: readonly string[]): StateCopy {
+  public copy(peers: readonly PeerAddress[]): StateCopy {
     return {
       document: this.documentInForce,
       targets: this.targets.list(),
       versions: this.versions(),
-      addresses,
+      peers,
     };
   }
 
--- a/packages/gateway/src/PeerCodec.ts
+++ b/packages/gateway/src/PeerCodec.ts
@@ -8,7 +8,17 @@
 type Beat = Extract<PeerMessage, { kind: 'beat' }>;
 type ReportFields = [string, number, number, number];
 type CallsFields = ['calls', string, ReportFields[]];
-type BeatFields = ['beat', string, number, number, number, number, Record<string, number>];
+type SickFields = [string, number];
+type BeatFields = [
+  'beat',
+  string,
+  number,
+  number,
+  number,
+  number,
+  Record<string, number>,
+  SickFields[],
+];
 
 const KINDS: readonly string[] = [
   'hello',
@@ -70,13 +80,16 @@
   return { kind: 'calls', sender, reports };
 }
 
-function packBeat({ sender, incarnation, versions, outstanding }: Beat): BeatFields {
+function packBeat({ sender, incarnation, versions, outstanding, sick }: Beat): BeatFields {
   const { configuration, targets, ageMilliseconds } = versions;
-  return ['beat', sender, incarnation, configuration, targets, ageMilliseconds, outstanding];
+  const rows = sick.map((one): SickFields => [one.target, one.ageMilliseconds]);
+  return ['beat', sender, incarnation, configuration, targets, ageMilliseconds, outstanding, rows];
 }
 
 function unpackBeat(fields: BeatFields): Beat {
-  const [, sender, incarnation, configuration, targets, ageMilliseconds, outstanding] = fields;
+  const [, sender, incarnation, configuration, targets, ageMilliseconds, outstanding, rows] =
+    fields;
   const versions = { configuration, targets, ageMilliseconds };
-  return { kind: 'beat', sender, incarnation, versions, outstanding };
+  const sick = rows.map(([target, age]) => ({ target, ageMilliseconds: age }));
+  return { kind: 'beat', sender, incarnation, versions, outstanding, sick };
 }
--- a/packages/gateway/src/PeerMessage.ts
+++ b/packages/gateway/src/PeerMessage.ts
@@ -20,6 +20,21 @@
   readonly capacity: number;
 }
 
+/** Where a daemon is heard, and the region that it belongs to. */
+export interface PeerAddress {
+  /** `ip:port`. */
+  readonly address: string;
+  /** Undefined when only the address is known. */
+  readonly region?: string;
+}
+
+/** A target that the sender takes for sick. */
+export interface SickTarget {
+  readonly target: string;
+  /** Milliseconds since it was found sick. */
+  readonly ageMilliseconds: number;
+}
+
 /** What a daemon knows of the things that last. */
 export interface KnownVersions {
   readonly configuration: number;
@@ -56,9 +71,10 @@
       readonly versions: KnownVersions;
       /** All requests of the sender, by target. */
       readonly outstanding: Readonly<Record<string, number>>;
+      readonly sick: readonly SickTarget[];
     }
-  /** Addresses of daemons, for one that has just come. */
-  | { readonly kind: 'peers'; readonly sender: string; readonly addresses: readonly string[] }
+  /** Daemons that the sender knows, so that all come to know one another. */
+  | { readonly kind: 'peers'; readonly sender: string; readonly peers: readonly PeerAddress[] }
   | {
       readonly kind: 'calls';
       readonly sender: string;
--- a/packages/gateway/src/SicknessBelief.ts
+++ b/packages/gateway/src/SicknessBelief.ts
@@ -56,6 +56,10 @@
 /** Probability from which a target is taken for sick, and for well again. */
 const SICK_PROBABILITY = 0.6;
 const WELL_PROBABILITY = 0.2;
+/** Own observations this young go before what peers tell. */
+const TRUSTED_MILLISECONDS = 1_000;
+/** Probability of a target that a peer takes for sick. */
+const TOLD_PROBABILITY = 0.85;
 
 export default class SicknessBelief {
   private probability: number;
@@ -105,6 +109,20 @@
     this.followEpisode(now, observation === 'failed');
   }
 
+  /** A peer takes the target for sick since a time; nothing newer may have been seen here. */
+  public learnSick(now: number, since: number): void {
+    if (now - this.updatedAt < TRUSTED_MILLISECONDS) return;
+    if (this.probabilityAt(now) >= TOLD_PROBABILITY) return;
+    this.probability = TOLD_PROBABILITY;
+    this.updatedAt = now;
+    this.sickSince ??= since;
+  }
+
+  /** Monotonic time since which the target is taken for sick, if it is. */
+  public get suspectedSince(): number | undefined {
+    return this.sickSince;
+  }
+
   private followEpisode(now: number, hasFailed: boolean): void {
     if (this.sickSince === undefined) {
       if (this.probability >= SICK_PROBABILITY) this.sickSince = now;
--- a/packages/gateway/src/StateFollower.ts
+++ b/packages/gateway/src/StateFollower.ts
@@ -54,6 +54,9 @@
 
   private failures = 0;
 
+  /** Monotonic time of the newest read of the store by another daemon that was heard here. */
+  private heardAt = Number.NEGATIVE_INFINITY;
+
   private readonly fetching = new Set<string>();
 
   /** Monotonic time since which a peer is known to know a newer configuration. */
@@ -77,8 +80,9 @@
 
   /** A peer told what it read from the store. */
   public hearNews(message: Extract<PeerMessage, { kind: 'news' }>): void {
-    const { state } = this.parts;
+    const { state, clock } = this.parts;
     const { versions } = message;
+    this.heardAt = Math.max(this.heardAt, clock.now() - versions.ageMilliseconds);
     if (message.after === state.position) {
       state.takeChanges(message.changes, versions.targets, message.sender);
     }
@@ -112,7 +116,7 @@
         state.takeTargets(copy.targets, copy.versions.targets, address);
         state.confirm(copy.versions.ageMilliseconds);
       }
-      members.rememberAddresses(copy.addresses);
+      members.remember(copy.peers);
       return true;
     } catch (error) {
       logger.warn('peer-state-not-fetched', { peer: address, cause: describeError(error) });
@@ -122,13 +126,13 @@
     }
   }
 
+  /** Whether this daemon reads the store: for all as the first, or as nothing is heard of it. */
   private get isReader(): boolean {
-    const { members, state } = this.parts;
+    const { members, state, clock } = this.parts;
     const rank = members.rank();
-    const { ageMilliseconds } = state.versions();
-    if (!state.isComplete) return true;
-    if (rank === 0) return true;
-    return ageMilliseconds > STALE_MILLISECONDS + Math.min(rank, LARGEST_RANK) * RANK_MILLISECONDS;
+    if (!state.isComplete || rank === 0) return true;
+    const patience = STALE_MILLISECONDS + Math.min(rank, LARGEST_RANK) * RANK_MILLISECONDS;
+    return clock.now() - this.heardAt > patience;
   }
 
   private get isBehind(): boolean {
@@ -247,7 +251,7 @@
       this.isStoreLost = true;
       this.parts.logger.warn('store-lost', { step, cause: describeError(error) });
     }
-    const known = this.parts.members.listAddresses();
+    const known = this.parts.members.known().map(({ address }) => address);
     const address = pickOne(this.parts.random, known.slice(-RECENT_PEERS));
     if (address !== undefined) await this.fetchFrom(address);
   }
--- a/packages/gateway/src/TargetTable.ts
+++ b/packages/gateway/src/TargetTable.ts
@@ -1,10 +1,14 @@
 /** The targets of each service as the registry names them, and what is believed of each. */
 import type { Clock } from '@cactusrun/core';
 import EpisodeLength from './EpisodeLength.js';
+import type { SickTarget } from './PeerMessage.js';
 import type { SicknessRates } from './SicknessBelief.js';
 import SicknessBelief from './SicknessBelief.js';
 import type { TargetChange, TargetEntry } from './TargetEntry.js';
 
+/** Peers are told of a target from this probability of sickness on. */
+const TOLD_FROM_PROBABILITY = 0.7;
+
 /** One target with what this daemon believes of it. */
 export interface KnownTarget {
   readonly entry: TargetEntry;
@@ -63,6 +67,25 @@
     return [...this.targets.values()].map(({ entry }) => entry);
   }
 
+  /** The targets that are taken for sick. */
+  public sick(): readonly SickTarget[] {
+    const now = this.clock.now();
+    return [...this.targets.values()].flatMap(({ entry, belief }) => {
+      const since = belief.suspectedSince;
+      const isSick = since !== undefined && belief.probabilityAt(now) >= TOLD_FROM_PROBABILITY;
+      if (!isSick) return [];
+      return [{ target: entry.id, ageMilliseconds: Math.round(now - since) }];
+    });
+  }
+
+  /** Takes in what a peer takes for sick. */
+  public learnSick(told: readonly SickTarget[]): void {
+    const now = this.clock.now();
+    told.forEach(({ target, ageMilliseconds }) => {
+      this.targets.get(target)?.belief.learnSick(now, now - ageMilliseconds);
+    });
+  }
+
   public get size(): number {
     return this.targets.size;
   }
--- a/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
@@ -19,8 +19,15 @@
     },
     wantsReply: true,
   },
-  { kind: 'beat', sender: 'host-1', incarnation: 5, versions: VERSIONS, outstanding: { t: 2 } },
-  { kind: 'peers', sender: 'host-1', addresses: ['127.0.0.1:1'] },
+  {
+    kind: 'beat',
+    sender: 'host-1',
+    incarnation: 5,
+    versions: VERSIONS,
+    outstanding: { t: 2 },
+    sick: [{ target: 'u', ageMilliseconds: 40 }],
+  },
+  { kind: 'peers', sender: 'host-1', peers: [{ address: '127.0.0.1:1', region: 'r' }] },
   {
     kind: 'calls',
     sender: 'host-1',
--- a/packages/gateway/src/__tests__/unit/StateFollower.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateFollower.test.ts
@@ -45,7 +45,9 @@
 
 /** A store in memory whose registry is a list of changes. */
 class MemoryStore implements GatewayStore {
-  public document = '1';
+  private newest = '1';
+
+  private waiting: (() => void)[] = [];
 
   public isDown = false;
 
@@ -53,16 +55,26 @@
 
   public readonly log: TargetChange[] = [];
 
+  public get document(): string {
+    return this.newest;
+  }
+
+  public set document(document: string) {
+    this.newest = document;
+    this.waiting.forEach((wake) => wake());
+    this.waiting = [];
+  }
+
   public async readConfiguration(after: number | undefined, _wait: number, signal: AbortSignal) {
     this.check();
     const position = Number(this.document);
     const document = after === position ? undefined : this.document;
-    if (document === undefined) {
-      await new Promise<void>((resolve) => {
-        signal.addEventListener('abort', () => resolve());
-      });
-    }
-    return { position, document };
+    if (document !== undefined) return { position, document };
+    await new Promise<void>((resolve) => {
+      signal.addEventListener('abort', () => resolve());
+      this.waiting.push(resolve);
+    });
+    return { position: Number(this.document), document: this.document };
   }
 
   public async readTargets(after: number | undefined): Promise<TargetPage> {
@@ -181,6 +193,18 @@
       expect(table.get('u')).toBeDefined();
     });
 
+    it('learns of each new configuration when it is cut off from its peers', async () => {
+      await clock.advance(100);
+      await advanceWithNews(2_000);
+      await clock.advance(3_000);
+      store.document = '2';
+      await clock.advance(2_000);
+      expect(state.configuration?.version).toBe(2);
+      store.document = '3';
+      await clock.advance(2_000);
+      expect(state.configuration?.version).toBe(3);
+    });
+
     it('reads by itself when the peer that knows more does not hand it over', async () => {
       await clock.advance(100);
       await advanceWithNews(2_000);
@@ -200,7 +224,7 @@
               document: '2',
               targets: [createEntry('t')],
               versions: { configuration: 2, targets: 1, ageMilliseconds: 0 },
-              addresses: [],
+              peers: [],
             });
       hearNews('a', 2, 1);
       await clock.advance(300);
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -1,6 +1,6 @@
 /** Constructs the parts of the direct data path and connects them. Nothing else constructs them. */
 import type { Clock, Counters, Logger, Random, Stop } from '@cactusrun/core';
-import { mergeStops } from '@cactusrun/core';
+import { mergeStops, shuffle } from '@cactusrun/core';
 import { CrashWatch } from '@cactusrun/requests';
 import CallBook from './CallBook.js';
 import type { CallerFieldNames } from './CallerServer.js';
@@ -27,6 +27,9 @@
 import TargetPicker from './TargetPicker.js';
 import TargetTable from './TargetTable.js';
 
+/** Members that are told of a new one at once. */
+const TOLD_OF_NEW_MEMBER = 8;
+
 /** Times of a graceful stop, from the signal on. */
 export interface StopTimes {
   /** New connections and requests are still taken for this long. */
@@ -153,6 +156,7 @@
       incarnation,
       versions: state.versions(),
       outstanding: outstanding.listOwn(),
+      sick: world.targets.sick(),
     };
   };
   Object.assign(handlers, {
@@ -160,8 +164,11 @@
       const isNew = members.hear(message.sender);
       if (isNew || message.wantsReply) link.send([from], describeHello(false));
       if (!isNew) return;
-      const addresses = [...members.listAddresses(), options.peerAddress];
-      link.send([from], { kind: 'peers', sender: options.name, addresses });
+      const all = [...members.known(), ...members.liveAndSelf()];
+      link.send([from], { kind: 'peers', sender: options.name, peers: all });
+      const { address, region } = message.sender;
+      const some = shuffle(random, members.liveAddresses()).slice(0, TOLD_OF_NEW_MEMBER);
+      link.send(some, { kind: 'peers', sender: options.name, peers: [{ address, region }] });
     },
     beat: (message, from) => {
       if (!members.hearBeat(message.sender, message.incarnation)) {
@@ -169,26 +176,25 @@
         return;
       }
       outstanding.learnAll(message.sender, message.outstanding);
+      world.targets.learnSick(message.sick);
       follower.compare(message.versions, message.sender);
     },
-    peers: (message) => {
-      const known = new Set(members.listAddresses());
-      const fresh = message.addresses.filter(
-        (address) => !known.has(address) && address !== options.peerAddress,
-      );
-      members.rememberAddresses(fresh);
-      link.send(fresh, describeHello(true));
+    peers: (message) => link.send(members.remember(message.peers), describeHello(true)),
+    calls: (message) => {
+      members.noteActive(message.sender);
+      calls.hear(message.sender, message.reports);
     },
-    calls: (message) => calls.hear(message.sender, message.reports),
     news: (message) => follower.hearNews(message),
     crash: (message) => crashes.learn(message.fingerprint, message.crashes),
   } satisfies PeerHandlers);
   const stopPeerState = await servePeerState(options.peerAddress, {
-    copyState: () => state.copy([...members.listAddresses(), options.peerAddress]),
+    copyState: () => state.copy([...members.known(), ...members.liveAndSelf()]),
     renderMetrics: () => counters.render(),
   });
   const stopLink = await link.start();
   const stopHeartbeat = startHeartbeat({
+    name: options.name,
+    random,
     beat: describeBeat,
     hello: () => describeHello(members.live().length === 0),
     members,
