--- a/.eslintrc.cjs
+++ b/.eslintrc.cjs
@@ -18,8 +18,11 @@
     ],
     // The parser library calls its handlers with one argument for each part of a rule.
     '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
-    // Names that Node's streams and the parser library call.
-    'no-underscore-dangle': ['error', { allow: ['_read', '_destroy', '_terminal', '_iter'] }],
+    // Names that Node's streams, the parser library and the schema library call.
+    'no-underscore-dangle': [
+      'error',
+      { allow: ['_read', '_destroy', '_terminal', '_iter', '_default', '_handle'] },
+    ],
     'sort-imports': ['error', { ignoreDeclarationSort: true, ignoreCase: true }],
   },
   overrides: [{ files: ['**/__tests__/**'], rules: { 'class-methods-use-this': 'off' } }],
--- /dev/null
+++ b/packages/gateway/src/CallerCall.ts
@@ -0,0 +1,28 @@
+/** A caller's request as the gateway takes it, and what the caller gets. */
+import type { RefusalReason } from './Refusal.js';
+import type { HeaderFields, TargetAnswer } from './TargetCall.js';
+
+export interface CallerCall {
+  readonly id: string;
+  readonly host: string;
+  readonly method: string;
+  readonly path: string;
+  readonly fields: HeaderFields;
+  readonly body: Buffer;
+  /** Time that the caller waits, counted from `receivedAt`. */
+  readonly deadlineMilliseconds: number | undefined;
+  /** Monotonic time at which the head of the request was read. */
+  readonly receivedAt: number;
+  /** Aborted when the caller leaves. */
+  readonly signal: AbortSignal;
+}
+
+export type CallerOutcome =
+  | { readonly kind: 'answered'; readonly answer: TargetAnswer }
+  | { readonly kind: 'refused'; readonly reason: RefusalReason }
+  | { readonly kind: 'cancelled' };
+
+/** The outcome of a request that gets no answer of a target. */
+export function refuse(reason: RefusalReason): CallerOutcome {
+  return { kind: 'refused', reason };
+}
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -8,7 +8,7 @@
 import type { CallerLimits } from './GatewayConfiguration.js';
 import type { RefusalReason } from './Refusal.js';
 import { REFUSAL_RULES } from './Refusal.js';
-import type { CallerCall, CallerOutcome } from './RequestProxy.js';
+import type { CallerCall, CallerOutcome } from './CallerCall.js';
 import type { TargetAnswer } from './TargetCall.js';
 
 /** Bounds until a configuration states some. */
--- a/packages/gateway/src/SicknessBelief.ts
+++ b/packages/gateway/src/SicknessBelief.ts
@@ -99,6 +99,11 @@
     return sick * failureShareSick + (1 - sick) * failureShareWell;
   }
 
+  /** Monotonic time of the last observation, own or told. */
+  public get seenAt(): number {
+    return this.updatedAt;
+  }
+
   /** Takes in what was seen of one request. */
   public observe(now: number, observation: Observation): void {
     const likelihood = LIKELIHOODS[observation](this.rates);
--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/TargetConnections.ts
@@ -179,7 +179,7 @@
       client.on('close', () => breakOff('connection closed'));
       client.on('response', (response) => {
         this.read(response, request, settle, breakOff);
-        socket.once('free', () => this.keep(target.id, socket, this.idleTimeOf(response)));
+        socket.once('free', () => this.keep(target.id, socket, idleTimeOf(response)));
       });
     });
   }
@@ -279,15 +279,16 @@
       isSigned: response.headers[this.names.signature.toLowerCase()] !== undefined,
     };
   }
-
-  private idleTimeOf(response: IncomingMessage): number {
-    const stated = /timeout=(\d+)/.exec(String(response.headers['keep-alive'] ?? ''))?.[1];
-    if (stated === undefined) return IDLE_MILLISECONDS;
-    const milliseconds = Number(stated) * SECOND_MILLISECONDS;
-    return Math.max(milliseconds / 2, milliseconds - IDLE_MARGIN_MILLISECONDS);
-  }
 }
 
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
+
+/** How long a connection may stay idle after the answer. */
+function idleTimeOf(response: IncomingMessage): number {
+  const stated = /timeout=(\d+)/.exec(String(response.headers['keep-alive'] ?? ''))?.[1];
+  if (stated === undefined) return IDLE_MILLISECONDS;
+  const milliseconds = Number(stated) * SECOND_MILLISECONDS;
+  return Math.max(milliseconds / 2, milliseconds - IDLE_MARGIN_MILLISECONDS);
+}
--- a/packages/gateway/src/TargetRun.ts
+++ b/packages/gateway/src/TargetRun.ts
@@ -21,7 +21,7 @@
 
 /** A sending that is under way. */
 export interface TargetRun {
-  readonly target: string;
+  readonly pick: Pick;
   readonly result: Promise<CallResult>;
   /** Resolves when the request takes unusually long; never if it ends before. */
   readonly stalled: Promise<void>;
@@ -64,7 +64,7 @@
     return result;
   };
   return {
-    target: entry.id,
+    pick,
     result: exchange(),
     stalled,
     cancel: () => controller.abort(),
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -11,7 +11,7 @@
 } from '../../GatewayConfiguration.js';
 import GatewayState from '../../GatewayState.js';
 import OutstandingCalls from '../../OutstandingCalls.js';
-import type { CallerCall, CallerOutcome } from '../../RequestProxy.js';
+import type { CallerCall, CallerOutcome } from '../../CallerCall.js';
 import RequestProxy from '../../RequestProxy.js';
 import RetryAllowance from '../../RetryAllowance.js';
 import ServiceTimes from '../../ServiceTimes.js';
--- a/packages/gateway/src/__tests__/unit/StateFollower.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateFollower.test.ts
@@ -94,7 +94,9 @@
     return [];
   }
 
-  public async writePeers() {}
+  public writePeers() {
+    return Promise.resolve();
+  }
 
   private check(): void {
     this.calls += 1;
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -138,16 +138,16 @@
       return proxy.handle(call);
     },
   });
-  const noteReadiness = () => {
-    if (daemonState !== 'starting' || !state.isComplete) return;
-    daemonState = 'ready';
-    link.send(members.liveAddresses(), describeHello(false));
-  };
   const describeHello = (wantsReply: boolean): Extract<PeerMessage, { kind: 'hello' }> => ({
     kind: 'hello',
     sender: describeSelf(),
     wantsReply,
   });
+  const noteReadiness = () => {
+    if (daemonState !== 'starting' || !state.isComplete) return;
+    daemonState = 'ready';
+    link.send(members.liveAddresses(), describeHello(false));
+  };
   const describeBeat = (): Extract<PeerMessage, { kind: 'beat' }> => {
     noteReadiness();
     return {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,6 +9,10 @@
   },
   resolve: {
     alias: [
+      {
+        find: '@cactusrun/platform-adapter',
+        replacement: `${import.meta.dirname}/platform/src/index.ts`,
+      },
       {
         find: /^@cactusrun\/([a-z-]+)$/,
         replacement: `${import.meta.dirname}/packages/$1/src/index.ts`,
