Judge a good answer by when its request began; cost of lateness and way by what they lose

Change: good answers count for the start of their request; first use only within 10 s of joining; lateness cubed; way by the price of bytes against a failed request; strays do not subscribe to evidence.

--- a/packages/gateway/src/CallBook.ts
+++ b/packages/gateway/src/CallBook.ts
@@ -54,16 +54,22 @@
    * A request of this daemon has ended.
    *
    * @param outcome - undefined when the end says nothing of the target
+   * @param elapsed - milliseconds since it was sent
    * @param there - requests that the target said it holds
    */
-  public end(id: string, outcome: CallOutcome | undefined, there: number | undefined): void {
+  public end(
+    id: string,
+    outcome: CallOutcome | undefined,
+    elapsed: number,
+    there: number | undefined,
+  ): void {
     const outstanding = this.outstanding.add(id, -1);
     if (there !== undefined) this.outstanding.noteSeen(id, there, this.clock.now());
-    if (outcome !== undefined) this.weigh(id, outcome, 'own');
+    if (outcome !== undefined) this.weigh(id, outcome, elapsed, 'own');
     this.tell({
       target: id,
       outstanding,
-      ...(outcome === undefined ? {} : { outcome }),
+      ...(outcome === undefined ? {} : { outcome, elapsed: Math.round(elapsed) }),
       ...(there === undefined ? {} : { there }),
     });
   }
@@ -71,7 +77,7 @@
   /** A request of this daemon takes unusually long. */
   public noteStall(id: string): void {
     this.counters.add('steering', 'stalled');
-    this.weigh(id, 'stalled', 'own');
+    this.weigh(id, 'stalled', 0, 'own');
     this.tell({ target: id, outstanding: this.outstanding.ownAt(id), outcome: 'stalled' });
   }
 
@@ -87,17 +93,17 @@
   /** A peer reported on its calls. */
   public hear(peer: string, reports: readonly CallReport[]): void {
     const now = this.clock.now();
-    reports.forEach(({ target, outstanding, outcome, there }) => {
+    reports.forEach(({ target, outstanding, outcome, there, elapsed }) => {
       this.outstanding.learn(peer, target, outstanding);
       const known = this.targets.get(target);
       if (known === undefined) return;
       if (outcome === undefined) known.usedAt = now;
       if (there !== undefined) this.outstanding.noteSeen(target, there, now);
-      if (outcome !== undefined) this.weigh(target, outcome, peer);
+      if (outcome !== undefined) this.weigh(target, outcome, elapsed ?? 0, peer);
     });
   }
 
-  private weigh(id: string, outcome: CallOutcome, source: string): void {
+  private weigh(id: string, outcome: CallOutcome, elapsed: number, source: string): void {
     const target = this.targets.get(id);
     if (target === undefined) return;
     const now = this.clock.now();
@@ -107,7 +113,7 @@
       return;
     }
     const before = target.belief.probabilityAt(now);
-    target.belief.observe(now, OBSERVATIONS[outcome]);
+    target.belief.observe(now, OBSERVATIONS[outcome], now - elapsed);
     const after = target.belief.probabilityAt(now);
     if (before >= SUSPECT_PROBABILITY === after >= SUSPECT_PROBABILITY) return;
     this.counters.add('steering', after > before ? 'suspected' : 'cleared');
--- a/packages/gateway/src/FleetMembers.ts
+++ b/packages/gateway/src/FleetMembers.ts
@@ -9,7 +9,8 @@
 const MISSED_BEATS = 4;
 export const BEAT_MILLISECONDS = 600;
 const SILENT_MILLISECONDS = MISSED_BEATS * BEAT_MILLISECONDS;
-/** A member that told of no request for this long has no need of evidence. */
+/** A member that tells of this many requests within this time needs evidence; fewer are strays. */
+const ACTIVE_REPORTS = 4;
 const ACTIVE_MILLISECONDS = 3_000;
 /** Addresses kept of daemons that may or may not run. */
 const KEPT_ADDRESSES = 400;
@@ -25,8 +26,8 @@
   /** Region of each daemon that was ever told of, by address; the newest last. */
   private readonly peers = new Map<string, string | undefined>();
 
-  /** Monotonic time at which each member last told of a request. */
-  private readonly activeAt = new Map<string, number>();
+  /** Monotonic times of the last reports of each member, oldest first. */
+  private readonly reportedAt = new Map<string, readonly number[]>();
 
   constructor(
     private readonly self: () => PeerDescription,
@@ -106,14 +107,17 @@
   }
 
   /** A member told of a request of its own. */
-  public noteActive(name: string): void {
-    this.activeAt.set(name, this.clock.now());
+  public noteReport(name: string): void {
+    const times = this.reportedAt.get(name) ?? [];
+    this.reportedAt.set(name, [...times.slice(1 - ACTIVE_REPORTS), this.clock.now()]);
   }
 
-  /** Whether the member has sent requests of late. */
+  /** Whether the member has sent several requests of late. */
   public isActive(name: string): boolean {
-    const at = this.activeAt.get(name);
-    return at !== undefined && this.clock.now() - at < ACTIVE_MILLISECONDS;
+    const times = this.reportedAt.get(name) ?? [];
+    const [oldest] = times;
+    if (oldest === undefined || times.length < ACTIVE_REPORTS) return false;
+    return this.clock.now() - oldest < ACTIVE_MILLISECONDS;
   }
 
   /** Drops members that are silent. */
--- a/packages/gateway/src/PeerCodec.ts
+++ b/packages/gateway/src/PeerCodec.ts
@@ -6,7 +6,7 @@
 
 type Calls = Extract<PeerMessage, { kind: 'calls' }>;
 type Beat = Extract<PeerMessage, { kind: 'beat' }>;
-type ReportFields = [string, number, number, number];
+type ReportFields = [string, number, number, number, number];
 type CallsFields = ['calls', string, ReportFields[]];
 type SickFields = [string, number];
 type BeatFields = [
@@ -58,23 +58,25 @@
 }
 
 function packCalls({ sender, reports }: Calls): CallsFields {
-  const rows = reports.map(({ target, outstanding, outcome, there }): ReportFields => [
+  const rows = reports.map(({ target, outstanding, outcome, there, elapsed }): ReportFields => [
     target,
     outstanding,
     outcome === undefined ? 0 : OUTCOMES.indexOf(outcome) + 1,
     there ?? NONE,
+    elapsed ?? NONE,
   ]);
   return ['calls', sender, rows];
 }
 
 function unpackCalls([, sender, rows]: CallsFields): Calls {
-  const reports = rows.map(([target, outstanding, number, there]): CallReport => {
+  const reports = rows.map(([target, outstanding, number, there, elapsed]): CallReport => {
     const outcome = OUTCOMES[number - 1];
     return {
       target,
       outstanding,
       ...(outcome === undefined ? {} : { outcome }),
       ...(there === NONE ? {} : { there }),
+      ...(elapsed === NONE ? {} : { elapsed }),
     };
   });
   return { kind: 'calls', sender, reports };
--- a/packages/gateway/src/PeerMessage.ts
+++ b/packages/gateway/src/PeerMessage.ts
@@ -51,6 +51,8 @@
   readonly target: string;
   readonly outstanding: number;
   readonly outcome?: CallOutcome;
+  /** Milliseconds from the start of that request to its end. */
+  readonly elapsed?: number;
   /** Requests that the target itself said it holds. */
   readonly there?: number;
 }
--- a/packages/gateway/src/SicknessBelief.ts
+++ b/packages/gateway/src/SicknessBelief.ts
@@ -56,6 +56,8 @@
 /** Probability from which a target is taken for sick, and for well again. */
 const SICK_PROBABILITY = 0.6;
 const WELL_PROBABILITY = 0.2;
+/** Milliseconds of a request's own time after which a good answer says no less. */
+const LONGEST_DOUBT = 1_000;
 /** Own observations this young go before what peers tell. */
 const TRUSTED_MILLISECONDS = 1_000;
 /** Probability of a target that a peer takes for sick. */
@@ -66,6 +68,9 @@
 
   private updatedAt: number;
 
+  /** Monotonic time of the last failure. */
+  private failedAt = Number.NEGATIVE_INFINITY;
+
   /** Monotonic time of the failure that began the present episode. */
   private sickSince: number | undefined;
 
@@ -104,12 +109,21 @@
     return this.updatedAt;
   }
 
-  /** Takes in what was seen of one request. */
-  public observe(now: number, observation: Observation): void {
+  /**
+   * Takes in what was seen of one request. A target decides on failure when it begins a request: a
+   * good answer says that it was well then, and nothing of the time since.
+   *
+   * @param startedAt - monotonic time at which the request was sent
+   */
+  public observe(now: number, observation: Observation, startedAt = now): void {
+    if (observation === 'good' && startedAt < this.failedAt) return;
+    if (observation === 'failed') this.failedAt = now;
     const likelihood = LIKELIHOODS[observation](this.rates);
     const prior = this.probabilityAt(now);
     const sick = prior * likelihood.sick;
-    this.probability = sick / (sick + (1 - prior) * likelihood.well);
+    const posterior = sick / (sick + (1 - prior) * likelihood.well);
+    const elapsed = observation === 'good' ? Math.min(now - startedAt, LONGEST_DOUBT) : 0;
+    this.probability = this.advance(posterior, elapsed, this.meanRecovery);
     this.updatedAt = now;
     this.followEpisode(now, observation === 'failed');
   }
--- a/packages/gateway/src/TargetPicker.ts
+++ b/packages/gateway/src/TargetPicker.ts
@@ -16,15 +16,16 @@
 const HAZARD_PER_SECOND = 0.04;
 /** A request that may be repeated loses only time by a failure. */
 const IDEMPOTENT_FAILURE_COST = 0.3;
-/** Weight of the expected time over the objective, squared. */
-const LATENESS_COST = 0.6;
+/** Weight of the expected time over the objective, cubed: little until queues are long. */
+const LATENESS_COST = 0.5;
+const LATENESS_POWER = 3;
 /** Requests that a target holds beyond its slots before it is taken for full. */
 const QUEUE_PER_SLOT = 1;
 /** Price of another availability zone, and of another region by the size of the request. */
 const ZONE_COST = 0.004;
-const ZONE_COST_PER_BYTE = 3e-6;
+const ZONE_COST_PER_BYTE = 1e-6;
 const REGION_COST = 0.06;
-const REGION_COST_PER_BYTE = 2.4e-5;
+const REGION_COST_PER_BYTE = 8e-6;
 /** Added time of another region: there and back, with a new connection at times. */
 const REGION_MILLISECONDS = 70;
 /** Work of a target that has just started takes this many times longer. */
@@ -33,6 +34,8 @@
 const RANDOM_COST = 0.01;
 /** Gain of the first request to a target that no daemon has used: it has yet to be known. */
 const FIRST_USE_GAIN = 0.4;
+/** A target counts as new for this long. */
+const NEW_MILLISECONDS = 10_000;
 
 export interface PickQuery {
   readonly service: string;
@@ -125,9 +128,10 @@
     const waitSeconds = pick.waitMilliseconds / MILLISECONDS;
     const failure = pick.failureProbability + HAZARD_PER_SECOND * waitSeconds;
     const failureCost = query.kind === 'idempotent' ? IDEMPOTENT_FAILURE_COST : 1;
-    const lateness = LATENESS_COST * (pick.expectedMilliseconds / query.objectiveMilliseconds) ** 2;
+    const lateness =
+      LATENESS_COST * (pick.expectedMilliseconds / query.objectiveMilliseconds) ** LATENESS_POWER;
     const overflow = pick.requestsThere >= entry.slots * (1 + QUEUE_PER_SLOT) ? 1 : 0;
-    const firstUse = pick.target.usedAt === 0 && pick.requestsThere === 0 ? FIRST_USE_GAIN : 0;
+    const firstUse = this.isUnknown(pick) ? FIRST_USE_GAIN : 0;
     return (
       failure * failureCost -
       firstUse +
@@ -138,6 +142,12 @@
     );
   }
 
+  /** Whether a new target has had no request yet. */
+  private isUnknown({ target, requestsThere }: Pick): boolean {
+    const isNew = this.clock.now() - target.joinedAt < NEW_MILLISECONDS;
+    return isNew && target.usedAt === 0 && requestsThere === 0;
+  }
+
   private wayCost(zone: string, bodyBytes: number): number {
     if (zone === this.place.zone) return 0;
     return this.isFar(zone)
--- a/packages/gateway/src/TargetRun.ts
+++ b/packages/gateway/src/TargetRun.ts
@@ -54,7 +54,7 @@
     const result = await connections.send(entry, request, signal);
     cancelStall();
     const there = result.kind === 'answered' ? result.answer.requestsThere : undefined;
-    calls.end(entry.id, outcomeOf(result), there);
+    calls.end(entry.id, outcomeOf(result), clock.now() - startedAt, there);
     if (isGood(result)) {
       const rounds = (pick.requestsThere + 1) / entry.slots;
       times.note(service, entry.id, clock.now() - startedAt, rounds);
--- a/packages/gateway/src/TargetTable.ts
+++ b/packages/gateway/src/TargetTable.ts
@@ -17,6 +17,8 @@
   readonly belief: SicknessBelief;
   /** Monotonic time until which this daemon does not try to connect to it. */
   blockedUntil: number;
+  /** Monotonic time at which the target joined the registry. */
+  readonly joinedAt: number;
   /** Monotonic time at which a request was last sent to it, by any daemon. */
   usedAt: number;
 }
@@ -100,6 +102,7 @@
       coldUntil: now + entry.coldMilliseconds,
       belief: isSameStart ? known.belief : this.newBelief(entry.service, now),
       blockedUntil: isSameStart ? known.blockedUntil : 0,
+      joinedAt: isSameStart ? known.joinedAt : now,
       usedAt: isSameStart ? known.usedAt : 0,
     });
     return true;
--- a/packages/gateway/src/__tests__/unit/SicknessBelief.test.ts
+++ b/packages/gateway/src/__tests__/unit/SicknessBelief.test.ts
@@ -14,6 +14,17 @@
       expect(belief.probabilityAt(10)).toBeGreaterThan(0.9);
     });
 
+    it('is not swayed by good answers to requests that began before the failure', () => {
+      const belief = createBelief();
+      Array.from({ length: 5 }).forEach((_, index) => belief.observe(index, 'good', index));
+      belief.observe(100, 'failed', 98);
+      const before = belief.probabilityAt(130);
+      belief.observe(130, 'good', 20);
+      expect(belief.probabilityAt(130)).toBe(before);
+      belief.observe(140, 'good', 110);
+      expect(belief.probabilityAt(140)).toBeLessThan(before);
+    });
+
     it('takes a target for well after two good answers', () => {
       const belief = createBelief();
       belief.observe(10, 'good');
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -181,7 +181,7 @@
     },
     peers: (message) => link.send(members.remember(message.peers), describeHello(true)),
     calls: (message) => {
-      members.noteActive(message.sender);
+      members.noteReport(message.sender);
       calls.hear(message.sender, message.reports);
     },
     news: (message) => follower.hearNews(message),
