Queue repeatable requests at sound targets rather than spend them on sick ones

Change: failure of a repeatable request weighs 0.6, a queue counts as full from four times the slots on. The test failed first.

--- a/packages/gateway/src/TargetPicker.ts
+++ b/packages/gateway/src/TargetPicker.ts
@@ -14,13 +14,13 @@
 const MILLISECONDS = 1_000;
 /** Chance per second of waiting that the target falls sick before it begins the request. */
 const HAZARD_PER_SECOND = 0.04;
-/** A request that may be repeated loses only time by a failure. */
-const IDEMPOTENT_FAILURE_COST = 0.3;
+/** A request that may be repeated loses less by a failure: time, and a share of the retry budget. */
+const IDEMPOTENT_FAILURE_COST = 0.6;
 /** Weight of the expected time over the objective, cubed: little until queues are long. */
 const LATENESS_COST = 0.5;
 const LATENESS_POWER = 3;
 /** Requests that a target holds beyond its slots before it is taken for full. */
-const QUEUE_PER_SLOT = 1;
+const QUEUE_PER_SLOT = 3;
 /** Price of another availability zone, and of another region by the size of the request. */
 const ZONE_COST = 0.004;
 const ZONE_COST_PER_BYTE = 1e-6;
--- a/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
@@ -75,6 +75,15 @@
       expect(Array.from({ length: 50 }, () => pickId())).not.toContain('sick');
     });
 
+    it('queues a request that may be repeated at the one sound target while others are sick', () => {
+      const sick = ['a', 'b', 'c', 'd', 'e'];
+      addTargets(createEntry('well'), ...sick.map((id) => createEntry(id)));
+      sick.forEach((id) => observe(id, true, true));
+      observe('well', false, false);
+      outstanding.learn('peer', 'well', 4);
+      expect(pickId({ kind: 'idempotent' })).toBe('well');
+    });
+
     it('uses a sick target when it is the only one', () => {
       addTargets(createEntry('sick'));
       observe('sick', true);
