--- a/packages/gateway/src/SicknessBelief.ts
+++ b/packages/gateway/src/SicknessBelief.ts
@@ -53,26 +53,31 @@
 
 /** Part of the expected length after which an episode may be over. */
 const EARLY_SHARE = 0.9;
-/** Probability from which a target is taken for sick, and for well again. */
-const SICK_PROBABILITY = 0.6;
+/** Time after an episode in which a recovery is likely; later the target is as any other. */
+const LATE_MILLISECONDS = 4_000;
+/** Probability below which a target is taken for well again. */
 const WELL_PROBABILITY = 0.2;
-/** Milliseconds of a request's own time after which a good answer says no less. */
-const LONGEST_DOUBT = 1_000;
 /** Own observations this young go before what peers tell. */
 const TRUSTED_MILLISECONDS = 1_000;
 /** Probability of a target that a peer takes for sick. */
 const TOLD_PROBABILITY = 0.85;
 
+/** Failures in a row, and the belief before the first of them. */
+interface Suspicion {
+  /** Monotonic time of the first failure. */
+  readonly since: number;
+  /** Probability that the target fell sick before it. */
+  prior: number;
+  /** How much likelier what was seen since is of a sick target. */
+  ratio: number;
+}
+
 export default class SicknessBelief {
   private probability: number;
 
   private updatedAt: number;
 
-  /** Monotonic time of the last failure. */
-  private failedAt = Number.NEGATIVE_INFINITY;
-
-  /** Monotonic time of the failure that began the present episode. */
-  private sickSince: number | undefined;
+  private suspicion: Suspicion | undefined;
 
   constructor(
     private readonly rates: SicknessRates,
@@ -86,15 +91,21 @@
   /** Probability that the target is sick at the time (monotonic milliseconds). */
   public probabilityAt(now: number): number {
     if (now <= this.updatedAt) return this.probability;
-    if (this.sickSince === undefined) {
+    if (this.suspicion === undefined) {
       return this.advance(this.probability, now - this.updatedAt, this.meanRecovery);
     }
-    const lateFrom = this.sickSince + this.length.milliseconds * EARLY_SHARE;
-    const early = Math.max(0, Math.min(now, lateFrom) - this.updatedAt);
-    const late = Math.max(0, now - Math.max(lateFrom, this.updatedAt));
     const { earlyRecoveryPerSecond, lateRecoveryPerSecond } = this.rates;
-    const afterEarly = this.advance(this.probability, early, earlyRecoveryPerSecond);
-    return this.advance(afterEarly, late, lateRecoveryPerSecond);
+    const lateFrom = this.suspicion.since + this.length.milliseconds * EARLY_SHARE;
+    const lateUntil = lateFrom + LATE_MILLISECONDS;
+    const between = (from: number, until: number) =>
+      Math.max(0, Math.min(now, until) - Math.max(this.updatedAt, from));
+    const early = this.advance(
+      this.probability,
+      between(Number.NEGATIVE_INFINITY, lateFrom),
+      earlyRecoveryPerSecond,
+    );
+    const late = this.advance(early, between(lateFrom, lateUntil), lateRecoveryPerSecond);
+    return this.advance(late, between(lateUntil, Number.POSITIVE_INFINITY), this.meanRecovery);
   }
 
   /** Probability that the next request fails. */
@@ -109,6 +120,11 @@
     return this.updatedAt;
   }
 
+  /** Monotonic time of the first failure of the present suspicion, if there is one. */
+  public get suspectedSince(): number | undefined {
+    return this.suspicion?.since;
+  }
+
   /**
    * Takes in what was seen of one request. A target decides on failure when it begins a request: a
    * good answer says that it was well then, and nothing of the time since.
@@ -116,16 +132,19 @@
    * @param startedAt - monotonic time at which the request was sent
    */
   public observe(now: number, observation: Observation, startedAt = now): void {
-    if (observation === 'good' && startedAt < this.failedAt) return;
-    if (observation === 'failed') this.failedAt = now;
-    const likelihood = LIKELIHOODS[observation](this.rates);
+    const { suspicion } = this;
+    if (observation === 'good' && suspicion !== undefined && startedAt < suspicion.since) {
+      this.boundOnset(now, suspicion, startedAt);
+      return;
+    }
     const prior = this.probabilityAt(now);
-    const sick = prior * likelihood.sick;
-    const posterior = sick / (sick + (1 - prior) * likelihood.well);
-    const elapsed = observation === 'good' ? Math.min(now - startedAt, LONGEST_DOUBT) : 0;
-    this.probability = this.advance(posterior, elapsed, this.meanRecovery);
+    const { sick, well } = LIKELIHOODS[observation](this.rates);
+    const ratio = sick / well;
+    if (suspicion !== undefined) suspicion.ratio *= ratio;
+    else if (observation === 'failed') this.suspicion = { since: now, prior, ratio };
+    this.probability = update(prior, ratio);
     this.updatedAt = now;
-    this.followEpisode(now, observation === 'failed');
+    this.followEpisode(now, observation);
   }
 
   /** A peer takes the target for sick since a time; nothing newer may have been seen here. */
@@ -134,24 +153,29 @@
     if (this.probabilityAt(now) >= TOLD_PROBABILITY) return;
     this.probability = TOLD_PROBABILITY;
     this.updatedAt = now;
-    this.sickSince ??= since;
+    this.suspicion ??= { since, prior: TOLD_PROBABILITY, ratio: 1 };
   }
 
-  /** Monotonic time since which the target is taken for sick, if it is. */
-  public get suspectedSince(): number | undefined {
-    return this.sickSince;
+  /** The target was well when it began a request before the failure: less time to fall sick in. */
+  private boundOnset(now: number, suspicion: Suspicion, startedAt: number): void {
+    const { onsetPerSecond, failureShareWell } = this.rates;
+    const seconds = (suspicion.since - startedAt) / MILLISECONDS;
+    const prior = 1 - Math.exp(-onsetPerSecond * seconds);
+    if (prior >= suspicion.prior) return;
+    suspicion.prior = Math.max(prior, failureShareWell * onsetPerSecond);
+    this.probability = update(suspicion.prior, suspicion.ratio);
+    this.updatedAt = now;
+    if (this.probability <= WELL_PROBABILITY) this.suspicion = undefined;
   }
 
-  private followEpisode(now: number, hasFailed: boolean): void {
-    if (this.sickSince === undefined) {
-      if (this.probability >= SICK_PROBABILITY) this.sickSince = now;
-      return;
-    }
-    const age = now - this.sickSince;
-    if (hasFailed) this.length.noteFailure(age);
+  private followEpisode(now: number, observation: Observation): void {
+    const { suspicion } = this;
+    if (suspicion === undefined) return;
+    const age = now - suspicion.since;
+    if (observation === 'failed') this.length.noteFailure(age);
     if (this.probability > WELL_PROBABILITY) return;
-    this.length.noteRecovery(age);
-    this.sickSince = undefined;
+    if (observation === 'good') this.length.noteRecovery(age);
+    this.suspicion = undefined;
   }
 
   /** The belief after some time in which nothing was observed. */
@@ -169,3 +193,9 @@
     return (onsetPerSecond * (1 - sickShare)) / sickShare;
   }
 }
+
+/** A probability after an observation that is `ratio` times likelier if it holds. */
+function update(prior: number, ratio: number): number {
+  const odds = (prior / Math.max(1e-9, 1 - prior)) * ratio;
+  return odds / (1 + odds);
+}
--- a/packages/gateway/src/TargetPicker.ts
+++ b/packages/gateway/src/TargetPicker.ts
@@ -15,17 +15,17 @@
 /** Chance per second of waiting that the target falls sick before it begins the request. */
 const HAZARD_PER_SECOND = 0.04;
 /** A request that may be repeated loses less by a failure: time, and a share of the retry budget. */
-const IDEMPOTENT_FAILURE_COST = 0.6;
-/** Weight of the expected time over the objective, cubed: little until queues are long. */
-const LATENESS_COST = 0.5;
-const LATENESS_POWER = 3;
+const IDEMPOTENT_FAILURE_COST = 0.5;
+/** Weight of the expected time over the objective, squared. */
+const LATENESS_COST = 0.6;
+const LATENESS_POWER = 2;
 /** Requests that a target holds beyond its slots before it is taken for full. */
-const QUEUE_PER_SLOT = 3;
+const QUEUE_PER_SLOT = 2;
 /** Price of another availability zone, and of another region by the size of the request. */
 const ZONE_COST = 0.004;
-const ZONE_COST_PER_BYTE = 1e-6;
+const ZONE_COST_PER_BYTE = 2e-6;
 const REGION_COST = 0.06;
-const REGION_COST_PER_BYTE = 8e-6;
+const REGION_COST_PER_BYTE = 2e-5;
 /** Added time of another region: there and back, with a new connection at times. */
 const REGION_MILLISECONDS = 70;
 /** Work of a target that has just started takes this many times longer. */
