--- a/packages/gateway/src/SicknessBelief.ts
+++ b/packages/gateway/src/SicknessBelief.ts
@@ -67,9 +67,9 @@
   /** Monotonic time of the first failure. */
   readonly since: number;
   /** Probability that the target fell sick before it. */
-  prior: number;
+  readonly prior: number;
   /** How much likelier what was seen since is of a sick target. */
-  ratio: number;
+  readonly ratio: number;
 }
 
 export default class SicknessBelief {
@@ -140,8 +140,11 @@
     const prior = this.probabilityAt(now);
     const { sick, well } = LIKELIHOODS[observation](this.rates);
     const ratio = sick / well;
-    if (suspicion !== undefined) suspicion.ratio *= ratio;
-    else if (observation === 'failed') this.suspicion = { since: now, prior, ratio };
+    if (suspicion !== undefined) {
+      this.suspicion = { ...suspicion, ratio: suspicion.ratio * ratio };
+    } else if (observation === 'failed') {
+      this.suspicion = { since: now, prior, ratio };
+    }
     this.probability = update(prior, ratio);
     this.updatedAt = now;
     this.followEpisode(now, observation);
@@ -162,8 +165,9 @@
     const seconds = (suspicion.since - startedAt) / MILLISECONDS;
     const prior = 1 - Math.exp(-onsetPerSecond * seconds);
     if (prior >= suspicion.prior) return;
-    suspicion.prior = Math.max(prior, failureShareWell * onsetPerSecond);
-    this.probability = update(suspicion.prior, suspicion.ratio);
+    const bounded = { ...suspicion, prior: Math.max(prior, failureShareWell * onsetPerSecond) };
+    this.suspicion = bounded;
+    this.probability = update(bounded.prior, bounded.ratio);
     this.updatedAt = now;
     if (this.probability <= WELL_PROBABILITY) this.suspicion = undefined;
   }
--- a/packages/gateway/src/TargetPicker.ts
+++ b/packages/gateway/src/TargetPicker.ts
@@ -16,9 +16,9 @@
 const HAZARD_PER_SECOND = 0.04;
 /** A request that may be repeated loses less by a failure: time, and a share of the retry budget. */
 const IDEMPOTENT_FAILURE_COST = 0.5;
-/** Weight of the expected time over the objective, squared. */
-const LATENESS_COST = 0.6;
-const LATENESS_POWER = 2;
+/** Weight of the expected time over the objective, cubed: little until queues are long. */
+const LATENESS_COST = 0.5;
+const LATENESS_POWER = 3;
 /** Requests that a target holds beyond its slots before it is taken for full. */
 const QUEUE_PER_SLOT = 2;
 /** Price of another availability zone, and of another region by the size of the request. */
