--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -5,11 +5,12 @@
 import type { Socket } from 'node:net';
 import type { Clock, Counters, OutcomeReason, Stop } from '@cactusrun/core';
 import { CactusrunError, OUTCOME_RULES } from '@cactusrun/core';
+import { listHeaders } from '@cactusrun/requests';
 import type { CallerAnswer, CallerRequest } from './CallerRequest.js';
 import { CALLER_HEADERS, refused } from './CallerRequest.js';
 import type CallerDirectory from './CallerDirectory.js';
 import { DIRECTORY_PATH } from './CallerDirectory.js';
-import { forwardedHeaders, joinHeaders, listHeaders } from './headers.js';
+import { forwardedHeaders, joinHeaders } from './headers.js';
 import type { BodyHead } from './readBodyHead.js';
 import { readBodyHead } from './readBodyHead.js';
 
--- a/packages/daemon/src/TargetExchange.ts
+++ b/packages/daemon/src/TargetExchange.ts
@@ -4,7 +4,7 @@
 import { pipeline } from 'node:stream';
 import type { Clock, ConnectionAge } from '@cactusrun/core';
 import type { Attempt, TargetResult } from '@cactusrun/requests';
-import { listHeaders } from './headers.js';
+import { listHeaders } from '@cactusrun/requests';
 
 const CONNECT_MILLISECONDS = 1_000;
 /** Header by which an upstream says that it did not run a request. */
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net';
 import type { Clock, Counters, Random } from '@cactusrun/core';
 import { CactusrunError } from '@cactusrun/core';
-import { endToEndFields, listFields } from './headerFields.js';
+import { endToEndHeaders, listHeaders } from '@cactusrun/requests';
 import type { CallerLimits } from './GatewayConfiguration.js';
 import type { RefusalReason } from './Refusal.js';
 import { REFUSAL_RULES } from './Refusal.js';
@@ -159,13 +159,14 @@
     signal: AbortSignal,
   ): CallerCall {
     const { names } = this.options;
+    const isWithheld = (name: string) => name === 'content-length' || names.withheld.has(name);
     const deadline = Number(request.headers[names.deadline.toLowerCase()]);
     return {
       id: String(request.headers[names.attemptId.toLowerCase()] ?? ''),
       host: request.headers.host ?? '',
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      fields: endToEndFields(listFields(request.rawHeaders), names.withheld),
+      fields: endToEndHeaders(listHeaders(request.rawHeaders), isWithheld),
       body,
       deadlineMilliseconds: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
       receivedAt,
--- a/packages/gateway/src/TargetCall.ts
+++ b/packages/gateway/src/TargetCall.ts
@@ -1,7 +1,8 @@
 /** What one sending of a request to one target came to. */
 import type { Readable } from 'node:stream';
+import type { HeaderField } from '@cactusrun/requests';
 
-export type HeaderFields = readonly (readonly [string, string])[];
+export type HeaderFields = readonly HeaderField[];
 
 /** A request as it goes to a target. */
 export interface OutgoingRequest {
--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/TargetConnections.ts
@@ -8,7 +8,7 @@
 import { connect } from 'node:net';
 import { PassThrough } from 'node:stream';
 import type { Clock, Counters } from '@cactusrun/core';
-import { endToEndFields, listFields } from './headerFields.js';
+import { endToEndHeaders, listHeaders } from '@cactusrun/requests';
 import type { CallResult, OutgoingRequest, TargetAnswer, TargetFieldNames } from './TargetCall.js';
 import type { TargetEntry } from './TargetEntry.js';
 
@@ -268,7 +268,7 @@
         : undefined;
     return {
       status: response.statusCode ?? 0,
-      fields: endToEndFields(listFields(response.rawHeaders)),
+      fields: endToEndHeaders(listHeaders(response.rawHeaders), isFraming),
       head,
       rest,
       requestsThere,
@@ -281,6 +281,11 @@
   }
 }
 
+/** The length is set anew towards the caller. */
+function isFraming(name: string): boolean {
+  return name === 'content-length';
+}
+
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,7 +2,6 @@
 export { default as SicknessBelief, DEFAULT_SICKNESS_RATES } from './SicknessBelief.js';
 export { default as TargetPicker } from './TargetPicker.js';
 export { default as TargetTable } from './TargetTable.js';
-export { endToEndFields, listFields } from './headerFields.js';
 export { listen } from './PeerStateServer.js';
 export { REFUSAL_RULES } from './Refusal.js';
 export { startGateway } from './wireGateway.js';
--- a/packages/gateway/src/headerFields.ts
+++ b/packages/requests/src/headerFields.ts
@@ -1,5 +1,5 @@
 /** Header fields between the hops of a request. */
-import type { HeaderFields } from './TargetCall.js';
+import type { HeaderField } from './Attempt.js';
 
 /** Fields that concern one connection only (RFC 9110, section 7.6.1), and framing. */
 const HOP_FIELDS: ReadonlySet<string> = new Set([
@@ -13,21 +13,24 @@
   'transfer-encoding',
   'upgrade',
   'expect',
-  'content-length',
 ]);
 
 /** Names and values from the flat list that Node gives. */
-export function listFields(raw: readonly string[]): HeaderFields {
+export function listHeaders(raw: readonly string[]): readonly HeaderField[] {
   return raw.flatMap((name, index) =>
     index % 2 === 0 ? [[name, raw[index + 1] ?? ''] as const] : [],
   );
 }
 
-/** The fields that go on to the next hop; framing is set anew there. */
-export function endToEndFields(
-  fields: HeaderFields,
-  withheld: ReadonlySet<string> = new Set(),
-): HeaderFields {
+/**
+ * The fields that go on to the next hop, without those that concern one connection.
+ *
+ * @param isWithheld - tells by its lower-case name whether a further field stays behind
+ */
+export function endToEndHeaders(
+  fields: readonly HeaderField[],
+  isWithheld: (name: string) => boolean,
+): readonly HeaderField[] {
   const named = new Set(
     fields
       .filter(([name]) => name.toLowerCase() === 'connection')
@@ -36,6 +39,6 @@
   );
   return fields.filter(([name]) => {
     const lower = name.toLowerCase();
-    return !HOP_FIELDS.has(lower) && !named.has(lower) && !withheld.has(lower);
+    return !HOP_FIELDS.has(lower) && !named.has(lower) && !isWithheld(lower);
   });
 }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,5 +1,6 @@
 export { refusal } from './Attempt.js';
 export { default as CrashWatch, CRASHES_TO_HOLD, HOLD_MILLISECONDS } from './CrashWatch.js';
+export { endToEndHeaders, listHeaders } from './headerFields.js';
 export { default as OrderWindow, shareOfDeposits } from './OrderWindow.js';
 export { default as RetryBudget } from './RetryBudget.js';
 export { default as RouteTable } from './RouteTable.js';
