--- a/packages/gateway/src/PeerStateServer.ts
+++ b/packages/gateway/src/PeerStateServer.ts
@@ -1,4 +1,4 @@
-/** The whole state of a daemon, for peers that lack it, and the daemon's metrics. */
+/** The whole state of a daemon, for peers that lack it. */
 import type { Server } from 'node:http';
 import { createServer, get } from 'node:http';
 import type { Stop } from '@cactusrun/core';
@@ -6,37 +6,20 @@
 import type { StateCopy } from './GatewayState.js';
 
 const STATE_PATH = '/state';
-const METRICS_PATH = '/metrics';
 /** Longest wait for a peer's state: some round trips between regions and a large configuration. */
 const FETCH_MILLISECONDS = 1_000;
 const OK_STATUS = 200;
 
-export interface PeerStateSources {
-  readonly copyState: () => StateCopy;
-  readonly renderMetrics: () => Promise<string>;
-}
-
 /**
- * Serves state and metrics until the returned function is called.
+ * Serves the state until the returned function is called.
  *
  * @param address - `ip:port` to listen on
  * @throws CactusrunError when the address cannot be bound
  */
-export async function servePeerState(address: string, sources: PeerStateSources): Promise<Stop> {
-  const answers: Readonly<Record<string, () => Promise<string>>> = {
-    [STATE_PATH]: async () => JSON.stringify(sources.copyState()),
-    [METRICS_PATH]: sources.renderMetrics,
-  };
+export async function servePeerState(address: string, copyState: () => StateCopy): Promise<Stop> {
   const server = createServer((request, response) => {
-    const answer = answers[request.url ?? ''];
-    if (answer === undefined) {
-      response.writeHead(404).end();
-      return;
-    }
-    answer().then(
-      (text) => response.end(text),
-      () => response.destroy(),
-    );
+    if (request.url === STATE_PATH) response.end(JSON.stringify(copyState()));
+    else response.writeHead(404).end();
   });
   await listen(server, address);
   return async () => {
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -187,10 +187,9 @@
     news: (message) => follower.hearNews(message),
     crash: (message) => crashes.learn(message.fingerprint, message.crashes),
   } satisfies PeerHandlers);
-  const stopPeerState = await servePeerState(options.peerAddress, {
-    copyState: () => state.copy([...members.known(), ...members.liveAndSelf()]),
-    renderMetrics: () => counters.render(),
-  });
+  const stopPeerState = await servePeerState(options.peerAddress, () =>
+    state.copy([...members.known(), ...members.liveAndSelf()]),
+  );
   const stopLink = await link.start();
   const stopHeartbeat = startHeartbeat({
     name: options.name,
