--- a/packages/gateway/src/RequestJourney.ts
+++ b/packages/gateway/src/RequestJourney.ts
@@ -69,7 +69,7 @@
 
   private readonly followers: FollowResult = {
     answered: ({ answer }) => this.takeAnswer(answer),
-    'not-executed': () => {
+    'not-run': () => {
       this.sendings += 1;
       this.lastReason = 'refused-by-targets';
       return AGAIN;
@@ -121,13 +121,15 @@
   }
 
   private maySendAgain(): boolean {
-    const { counters, allowanceOf } = this.parts;
-    if (this.sendings + this.underWay >= this.plan.route.maximumAttempts) {
-      counters.add('retries', 'attempts-used');
-      return false;
-    }
-    const isPaid = allowanceOf(this.plan.service).withdraw();
-    counters.add('retries', isPaid ? 'sent-again' : 'budget-spent');
+    const { counters, logger, allowanceOf } = this.parts;
+    const { call, route, service } = this.plan;
+    const attempts = this.sendings + this.underWay;
+    const isAllowed = attempts < route.maximumAttempts;
+    const isPaid = isAllowed && allowanceOf(service).withdraw();
+    const unpaid = isAllowed ? 'budget-spent' : 'attempts-used';
+    const outcome = isPaid ? 'sent-again' : unpaid;
+    counters.add('retries', outcome);
+    logger.info('request-retry', { request: call.id, service, attempts, outcome });
     return isPaid;
   }
 
--- a/packages/gateway/src/RequestProxy.ts
+++ b/packages/gateway/src/RequestProxy.ts
@@ -6,12 +6,15 @@
 import type { GatewayRoute } from './GatewayConfiguration.js';
 import { chooseService, findRoute } from './GatewayConfiguration.js';
 import type GatewayState from './GatewayState.js';
+import type { RefusalReason } from './Refusal.js';
 import type { RequestJourneyParts } from './RequestJourney.js';
 import RequestJourney from './RequestJourney.js';
 import { SERVER_ERROR_STATUS } from './TargetRun.js';
 
 /** An answer is given this long before the caller's deadline. */
 const ANSWER_MARGIN_MILLISECONDS = 40;
+/** One good answer in this many is logged. */
+const ANSWERED_SAMPLE = 64;
 
 export interface RequestProxyParts extends RequestJourneyParts {
   readonly state: GatewayState;
@@ -19,16 +22,20 @@
 }
 
 export default class RequestProxy {
+  private answered = 0;
+
   constructor(private readonly parts: RequestProxyParts) {}
 
   public async handle(call: CallerCall): Promise<CallerOutcome> {
     const { state, random, crashes, allowanceOf } = this.parts;
     const { configuration } = state;
-    if (configuration === undefined || !state.isComplete) return refuse('no-configuration');
+    if (configuration === undefined || !state.isComplete) {
+      return this.refuseUnrouted(call, 'no-configuration');
+    }
     const route = findRoute(configuration, call.host, call.path);
-    if (route === undefined) return refuse('no-route');
+    if (route === undefined) return this.refuseUnrouted(call, 'no-route');
     const service = chooseService(route, random.unit());
-    if (service === undefined) return refuse('no-target');
+    if (service === undefined) return this.refuseUnrouted(call, 'no-target');
     const fingerprint = fingerprintOf(call);
     const deadline = deadlineOf(call, route);
     allowanceOf(service).deposit();
@@ -45,6 +52,20 @@
     return outcome;
   }
 
+  private refuseUnrouted(call: CallerCall, reason: RefusalReason): CallerOutcome {
+    const { state, counters, logger } = this.parts;
+    counters.add('outcomes', reason);
+    logger.info('request-refused', {
+      request: call.id,
+      host: call.host,
+      reason,
+      version: state.configuration?.version,
+      registryPosition: state.position,
+    });
+    return refuse(reason);
+  }
+
+  /** Every failure is logged, and a sample of the good answers. */
   private log(
     call: CallerCall,
     route: GatewayRoute,
@@ -59,8 +80,9 @@
     const result = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
     counters.time('request', milliseconds);
     counters.add('outcomes', isFailure && status !== undefined ? 'target-failed' : result);
-    if (!isFailure) return;
-    logger.info('request-failed', {
+    this.answered += isFailure ? 0 : 1;
+    if (!isFailure && this.answered % ANSWERED_SAMPLE !== 0) return;
+    logger.info(isFailure ? 'request-failed' : 'request-answered', {
       request: call.id,
       route: route.name,
       service,
--- a/packages/gateway/src/TargetCall.ts
+++ b/packages/gateway/src/TargetCall.ts
@@ -35,7 +35,7 @@
 export type CallResult =
   | { readonly kind: 'answered'; readonly answer: TargetAnswer }
   /** The target said that it did not run the request. */
-  | { readonly kind: 'not-executed'; readonly reason: 'full' | 'other-target' | 'refused' }
+  | { readonly kind: 'not-run'; readonly reason: 'full' | 'other-target' | 'refused' }
   /** No byte of the request was written. */
   | { readonly kind: 'not-sent'; readonly detail: string; readonly isRefused: boolean }
   /** The request was written and no whole answer came: it may have run. */
@@ -48,7 +48,7 @@
   readonly attemptId: string;
   readonly deadline: string;
   readonly expectedTarget: string;
-  readonly notExecuted: string;
+  readonly notRun: string;
   readonly load: string;
   readonly signature: string;
 }
--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/TargetConnections.ts
@@ -247,12 +247,12 @@
 
   private refusalOf(
     response: IncomingMessage,
-  ): Extract<CallResult, { kind: 'not-executed' }> | undefined {
+  ): Extract<CallResult, { kind: 'not-run' }> | undefined {
     if (response.statusCode === MISDIRECTED_STATUS) {
-      return { kind: 'not-executed', reason: 'other-target' };
+      return { kind: 'not-run', reason: 'other-target' };
     }
-    if (response.headers[this.names.notExecuted.toLowerCase()] === undefined) return undefined;
-    return { kind: 'not-executed', reason: response.statusCode === 503 ? 'full' : 'refused' };
+    if (response.headers[this.names.notRun.toLowerCase()] === undefined) return undefined;
+    return { kind: 'not-run', reason: response.statusCode === 503 ? 'full' : 'refused' };
   }
 
   private describe(
--- a/packages/gateway/src/TargetRun.ts
+++ b/packages/gateway/src/TargetRun.ts
@@ -78,7 +78,7 @@
 
 const CALL_OUTCOMES: Readonly<Record<CallResult['kind'], CallOutcome | undefined>> = {
   answered: 'failed',
-  'not-executed': 'refused',
+  'not-run': 'refused',
   'not-sent': undefined,
   broken: 'failed',
   timeout: 'failed',
