--- a/packages/gateway/src/RequestJourney.ts
+++ b/packages/gateway/src/RequestJourney.ts
@@ -102,8 +102,10 @@
     const remaining = this.plan.deadline - this.parts.clock.now();
     if (remaining < SMALLEST_REMAINING_MILLISECONDS) return this.conclude('too-late');
     const picked = this.pick();
-    if (picked.kind === 'no-target') return this.conclude(this.lastReason);
-    if (picked.kind === 'full') return this.conclude('overloaded');
+    if (picked.kind !== 'picked') {
+      this.logUnplaced(picked, remaining);
+      return this.conclude(picked.kind === 'full' ? 'overloaded' : this.lastReason);
+    }
     if (this.sendings > 0 && !this.maySendAgain()) return this.conclude(this.lastReason);
     return this.send(picked.pick);
   }
@@ -213,6 +215,18 @@
     return { kind: 'done', outcome: this.failure ?? refuse(reason) };
   }
 
+  private logUnplaced(picked: Exclude<PickResult, { kind: 'picked' }>, remaining: number): void {
+    this.parts.logger.info('request-unplaced', {
+      request: this.plan.call.id,
+      service: this.plan.service,
+      outcome: picked.kind,
+      remainingMilliseconds: Math.round(remaining),
+      expectedMilliseconds:
+        'expectedMilliseconds' in picked ? Math.round(picked.expectedMilliseconds) : undefined,
+      targetsExcluded: this.excluded.size,
+    });
+  }
+
   private logFailure(run: TargetRun, result: CallResult): void {
     const { counters, logger } = this.parts;
     const { target, failureProbability, requestsThere, expectedMilliseconds } = run.pick;
