--- a/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
+++ b/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
@@ -2,21 +2,8 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import EntryDirectory from '../../EntryDirectory.js';
 import FleetMembers, { BEAT_MILLISECONDS } from '../../FleetMembers.js';
-import type { DaemonState, PeerDescription } from '../../PeerMessage.js';
-
-function describeHost(name: string, change: Partial<PeerDescription> = {}): PeerDescription {
-  return {
-    name,
-    incarnation: 1,
-    address: `${name}:1`,
-    callerAddress: `${name}:2`,
-    zone: 'z',
-    region: 'r',
-    state: 'ready',
-    capacity: 1,
-    ...change,
-  };
-}
+import type { DaemonState } from '../../PeerMessage.js';
+import describeHost from './describeHost.js';
 
 describe('FleetMembers', () => {
   let clock: ManualClock;
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -20,6 +20,7 @@
 import type TargetConnections from '../../TargetConnections.js';
 import TargetPicker from '../../TargetPicker.js';
 import TargetTable from '../../TargetTable.js';
+import describeHost from './describeHost.js';
 
 const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload'];
 
@@ -101,16 +102,7 @@
       state.takeDocument('1', 'test');
       state.takeTargets(targets, 1, 'test');
     }
-    const self = () => ({
-      name: 'm',
-      incarnation: 1,
-      address: 'm:1',
-      callerAddress: 'm:2',
-      zone: 'z',
-      region: 'r',
-      state: 'ready' as const,
-      capacity: 1,
-    });
+    const self = () => describeHost('m');
     const members = new FleetMembers(self, clock, silentLogger, () => {});
     const outstanding = new OutstandingCalls();
     const times = new ServiceTimes();
--- a/packages/gateway/src/__tests__/unit/StateFollower.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateFollower.test.ts
@@ -6,24 +6,12 @@
 import type { StateCopy } from '../../GatewayState.js';
 import GatewayState from '../../GatewayState.js';
 import type { GatewayStore, TargetPage } from '../../GatewayStore.js';
-import type { DaemonState, PeerDescription, PeerMessage } from '../../PeerMessage.js';
+import type { PeerMessage } from '../../PeerMessage.js';
 import { DEFAULT_SICKNESS_RATES } from '../../SicknessBelief.js';
 import StateFollower from '../../StateFollower.js';
 import type { TargetChange, TargetEntry } from '../../TargetEntry.js';
 import TargetTable from '../../TargetTable.js';
-
-function describeHost(name: string, state: DaemonState = 'ready'): PeerDescription {
-  return {
-    name,
-    incarnation: 1,
-    address: `${name}:1`,
-    callerAddress: `${name}:2`,
-    zone: 'z',
-    region: 'r',
-    state,
-    capacity: 1,
-  };
-}
+import describeHost from './describeHost.js';
 
 function createEntry(id: string, isLeaving = false): TargetEntry {
   return {
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/describeHost.ts
@@ -0,0 +1,19 @@
+/** A daemon's description for tests: ready, in zone `z` of region `r`. */
+import type { PeerDescription } from '../../PeerMessage.js';
+
+export default function describeHost(
+  name: string,
+  change: Partial<PeerDescription> = {},
+): PeerDescription {
+  return {
+    name,
+    incarnation: 1,
+    address: `${name}:1`,
+    callerAddress: `${name}:2`,
+    zone: 'z',
+    region: 'r',
+    state: 'ready',
+    capacity: 1,
+    ...change,
+  };
+}
