One answer to malformed requests for both servers

Cause: duplicates: CallerServer and EntryServer ended them alike. Change: refuseMalformed in packages/requests.

--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -5,7 +5,7 @@
 import type { Socket } from 'node:net';
 import type { Clock, Counters, OutcomeReason, Stop } from '@cactusrun/core';
 import { CactusrunError, OUTCOME_RULES } from '@cactusrun/core';
-import { listHeaders } from '@cactusrun/requests';
+import { listHeaders, refuseMalformed } from '@cactusrun/requests';
 import type { CallerAnswer, CallerRequest } from './CallerRequest.js';
 import { CALLER_HEADERS, refused } from './CallerRequest.js';
 import type CallerDirectory from './CallerDirectory.js';
@@ -36,12 +36,6 @@
   readonly mayHaveRun: (ticket: string) => boolean;
 }
 
-/** Statuses for what Node's own parser refuses, by its error code. */
-const PARSER_STATUS: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
 const BODY_REFUSALS: Readonly<Record<Exclude<BodyHead['kind'], 'read'>, OutcomeReason>> = {
   'too-slow': 'request-too-slow',
   'too-large': 'request-too-large',
@@ -70,7 +64,7 @@
         this.serve(request, response).catch(() => response.destroy());
       },
     );
-    this.server.on('clientError', (error, socket) => this.refuseMalformed(error, socket as Socket));
+    this.server.on('clientError', (error, socket) => this.endMalformed(error, socket as Socket));
   }
 
   /**
@@ -221,14 +215,8 @@
     response.end(body);
   }
 
-  private refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+  private endMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
     this.options.counters.add('malformed_requests', error.code ?? 'unknown');
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    const status = PARSER_STATUS[error.code ?? ''] ?? '400 Bad Request';
-    const fields = `${CALLER_HEADERS.reason}: malformed\r\n`;
-    socket.end(`HTTP/1.1 ${status}\r\n${fields}connection: close\r\ncontent-length: 0\r\n\r\n`);
+    refuseMalformed(error, socket, `${CALLER_HEADERS.reason}: malformed\r\n`);
   }
 }
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net';
 import type { Clock, Counters, Random } from '@cactusrun/core';
 import { CactusrunError } from '@cactusrun/core';
-import { endToEndHeaders, listHeaders } from '@cactusrun/requests';
+import { endToEndHeaders, listHeaders, refuseMalformed } from '@cactusrun/requests';
 import type { CallerLimits } from './GatewayConfiguration.js';
 import type { RefusalReason } from './Refusal.js';
 import { REFUSAL_RULES } from './Refusal.js';
@@ -43,12 +43,6 @@
   readonly handle: (call: CallerCall) => Promise<CallerOutcome>;
 }
 
-/** Statuses for what Node's own parser refuses, by its error code. */
-const PARSER_STATUS: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
 type BodyResult =
   | { readonly kind: 'whole'; readonly body: Buffer }
   | { readonly kind: 'too-large' }
@@ -77,7 +71,7 @@
         this.serve(request, response).catch(() => response.destroy());
       },
     );
-    this.server.on('clientError', (error, socket) => this.refuseMalformed(error, socket as Socket));
+    this.server.on('clientError', (error, socket) => this.endMalformed(error, socket as Socket));
   }
 
   /** @throws CactusrunError when the address cannot be bound */
@@ -227,14 +221,9 @@
     return this.isLeaving || !response.req.complete ? ['connection', 'close'] : [];
   }
 
-  private refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
+  private endMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
     this.options.counters.add('malformed_requests', error.code ?? 'unknown');
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    const status = PARSER_STATUS[error.code ?? ''] ?? '400 Bad Request';
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+    refuseMalformed(error, socket);
   }
 }
 
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -2,6 +2,7 @@
 export { default as CrashWatch, CRASHES_TO_HOLD, HOLD_MILLISECONDS } from './CrashWatch.js';
 export { endToEndHeaders, listHeaders } from './headerFields.js';
 export { default as OrderWindow, shareOfDeposits } from './OrderWindow.js';
+export { default as refuseMalformed } from './refuseMalformed.js';
 export { default as RetryBudget } from './RetryBudget.js';
 export { default as RouteTable } from './RouteTable.js';
 export { default as ShardKeeper } from './ShardKeeper.js';
