--- a/packages/gateway/src/CallBook.ts
+++ b/packages/gateway/src/CallBook.ts
@@ -28,25 +28,27 @@
   unreachable: 'failed',
 };
 
+export interface CallBookParts {
+  readonly selfName: string;
+  readonly targets: TargetTable;
+  readonly outstanding: OutstandingCalls;
+  readonly directory: EntryDirectory;
+  readonly link: PeerSender;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly logger: Logger;
+}
+
 export default class CallBook {
   private pending: CallReport[] = [];
 
-  constructor(
-    private readonly selfName: string,
-    private readonly targets: TargetTable,
-    private readonly outstanding: OutstandingCalls,
-    private readonly directory: EntryDirectory,
-    private readonly link: PeerSender,
-    private readonly clock: Clock,
-    private readonly counters: Counters,
-    private readonly logger: Logger,
-  ) {}
+  constructor(private readonly parts: CallBookParts) {}
 
   /** This daemon is about to send a request to the target. */
   public begin(target: KnownTarget): void {
     const { id } = target.entry;
-    const outstanding = this.outstanding.add(id, 1);
-    this.targets.get(id)!.usedAt = this.clock.now();
+    const outstanding = this.parts.outstanding.add(id, 1);
+    this.parts.targets.get(id)!.usedAt = this.parts.clock.now();
     this.tell({ target: id, outstanding });
   }
 
@@ -63,8 +65,8 @@
     elapsed: number,
     there: number | undefined,
   ): void {
-    const outstanding = this.outstanding.add(id, -1);
-    if (there !== undefined) this.outstanding.noteSeen(id, there, this.clock.now());
+    const outstanding = this.parts.outstanding.add(id, -1);
+    if (there !== undefined) this.parts.outstanding.noteSeen(id, there, this.parts.clock.now());
     if (outcome !== undefined) this.weigh(id, outcome, elapsed, 'own');
     this.tell({
       target: id,
@@ -76,48 +78,51 @@
 
   /** A request of this daemon takes unusually long. */
   public noteStall(id: string): void {
-    this.counters.add('steering', 'stalled');
+    this.parts.counters.add('steering', 'stalled');
     this.weigh(id, 'stalled', 0, 'own');
-    this.tell({ target: id, outstanding: this.outstanding.ownAt(id), outcome: 'stalled' });
+    this.tell({ target: id, outstanding: this.parts.outstanding.ownAt(id), outcome: 'stalled' });
   }
 
   /** A connection did not come about in time from here; others may still reach the target. */
   public noteUnreached(id: string): void {
-    const target = this.targets.get(id);
+    const target = this.parts.targets.get(id);
     if (target === undefined) return;
-    target.blockedUntil = this.clock.now() + UNREACHED_MILLISECONDS;
-    this.counters.add('steering', 'unreached');
-    this.logger.info('target-unreached', { target: id, forMilliseconds: UNREACHED_MILLISECONDS });
+    target.blockedUntil = this.parts.clock.now() + UNREACHED_MILLISECONDS;
+    this.parts.counters.add('steering', 'unreached');
+    this.parts.logger.info('target-unreached', {
+      target: id,
+      forMilliseconds: UNREACHED_MILLISECONDS,
+    });
   }
 
   /** A peer reported on its calls. */
   public hear(peer: string, reports: readonly CallReport[]): void {
-    const now = this.clock.now();
+    const now = this.parts.clock.now();
     reports.forEach(({ target, outstanding, outcome, there, elapsed }) => {
-      this.outstanding.learn(peer, target, outstanding);
-      const known = this.targets.get(target);
+      this.parts.outstanding.learn(peer, target, outstanding);
+      const known = this.parts.targets.get(target);
       if (known === undefined) return;
       if (outcome === undefined) known.usedAt = now;
-      if (there !== undefined) this.outstanding.noteSeen(target, there, now);
+      if (there !== undefined) this.parts.outstanding.noteSeen(target, there, now);
       if (outcome !== undefined) this.weigh(target, outcome, elapsed ?? 0, peer);
     });
   }
 
   private weigh(id: string, outcome: CallOutcome, elapsed: number, source: string): void {
-    const target = this.targets.get(id);
+    const target = this.parts.targets.get(id);
     if (target === undefined) return;
-    const now = this.clock.now();
+    const now = this.parts.clock.now();
     if (outcome === 'unreachable') target.blockedUntil = now + REFUSED_MILLISECONDS;
     if (outcome === 'refused') {
-      this.outstanding.noteSeen(id, target.entry.slots * 2, now);
+      this.parts.outstanding.noteSeen(id, target.entry.slots * 2, now);
       return;
     }
     const before = target.belief.probabilityAt(now);
     target.belief.observe(now, OBSERVATIONS[outcome], now - elapsed);
     const after = target.belief.probabilityAt(now);
     if (before >= SUSPECT_PROBABILITY === after >= SUSPECT_PROBABILITY) return;
-    this.counters.add('steering', after > before ? 'suspected' : 'cleared');
-    this.logger.info(after > before ? 'target-suspected' : 'target-cleared', {
+    this.parts.counters.add('steering', after > before ? 'suspected' : 'cleared');
+    this.parts.logger.info(after > before ? 'target-suspected' : 'target-cleared', {
       target: id,
       service: target.entry.service,
       outcome,
@@ -130,15 +135,15 @@
   private tell(report: CallReport): void {
     this.pending.push(report);
     if (this.pending.length > 1) return;
-    this.clock.after(GATHER_MILLISECONDS, () => this.flush());
+    this.parts.clock.after(GATHER_MILLISECONDS, () => this.flush());
   }
 
   private flush(): void {
     const reports = this.pending;
     this.pending = [];
-    this.link.send(this.directory.entryAddresses(), {
+    this.parts.link.send(this.parts.directory.entryAddresses(), {
       kind: 'calls',
-      sender: this.selfName,
+      sender: this.parts.selfName,
       reports,
     });
   }
--- /dev/null
+++ b/packages/gateway/src/GatewayParts.ts
@@ -0,0 +1,113 @@
+/** Constructs what one daemon knows and does with requests, apart from its links to others. */
+import type { CrashWatch } from '@cactusrun/requests';
+import type CallBook from './CallBook.js';
+import CallerServer from './CallerServer.js';
+import FleetMembers from './FleetMembers.js';
+import type { GatewayOptions } from './GatewayOptions.js';
+import GatewayState from './GatewayState.js';
+import OutstandingCalls from './OutstandingCalls.js';
+import type { PeerDescription } from './PeerMessage.js';
+import RequestProxy from './RequestProxy.js';
+import RetryAllowance from './RetryAllowance.js';
+import ServiceTimes from './ServiceTimes.js';
+import { DEFAULT_SICKNESS_RATES } from './SicknessBelief.js';
+import TargetConnections from './TargetConnections.js';
+import TargetPicker from './TargetPicker.js';
+import TargetTable from './TargetTable.js';
+
+/** What one daemon knows of targets, members and the things that last. */
+export interface Knowledge {
+  readonly targets: TargetTable;
+  readonly outstanding: OutstandingCalls;
+  readonly connections: TargetConnections;
+  readonly times: ServiceTimes;
+  readonly members: FleetMembers;
+  readonly state: GatewayState;
+}
+
+export function buildKnowledge(
+  options: GatewayOptions,
+  describeSelf: () => PeerDescription,
+): Knowledge {
+  const { clock, counters, logger } = options;
+  const targets = new TargetTable(clock, DEFAULT_SICKNESS_RATES);
+  const outstanding = new OutstandingCalls();
+  const connections = new TargetConnections(options.targetFields, clock, counters);
+  const times = new ServiceTimes();
+  const members = new FleetMembers(describeSelf, clock, logger, (name) =>
+    outstanding.forgetPeer(name),
+  );
+  const state = new GatewayState(options.decode, targets, clock, logger, (changes) => {
+    changes.forEach((change) => {
+      if (change.kind !== 'removed') return;
+      connections.forget(change.id);
+      outstanding.forgetTarget(change.id);
+      times.forget(change.id);
+    });
+  });
+  return { targets, outstanding, connections, times, members, state };
+}
+
+function buildProxy(
+  options: GatewayOptions,
+  knowledge: Knowledge,
+  calls: CallBook,
+  crashes: CrashWatch,
+): RequestProxy {
+  const { clock, random, counters, logger } = options;
+  const allowances = new Map<string, RetryAllowance>();
+  const allowanceOf = (service: string) => {
+    const known =
+      allowances.get(service) ??
+      new RetryAllowance(options.retryBudget, () => knowledge.members.countFleet());
+    allowances.set(service, known);
+    return known;
+  };
+  const picker = new TargetPicker(
+    { zone: options.zone, region: options.region },
+    (zone) => options.regions[zone],
+    knowledge.targets,
+    knowledge.outstanding,
+    knowledge.times,
+    clock,
+    random,
+  );
+  return new RequestProxy({
+    state: knowledge.state,
+    picker,
+    calls,
+    connections: knowledge.connections,
+    times: knowledge.times,
+    crashes,
+    allowanceOf,
+    clock,
+    random,
+    counters,
+    logger,
+  });
+}
+
+/** The server of callers' requests, in front of everything that serves them. */
+export function buildCallerServer(
+  options: GatewayOptions,
+  knowledge: Knowledge,
+  calls: CallBook,
+  crashes: CrashWatch,
+): CallerServer {
+  const { state } = knowledge;
+  const proxy = buildProxy(options, knowledge, calls, crashes);
+  const server: CallerServer = new CallerServer({
+    address: options.callerAddress,
+    names: options.callerFields,
+    clock: options.clock,
+    random: options.random,
+    counters: options.counters,
+    limits: () => state.configuration?.limits,
+    handle: async (call) => {
+      const { configuration } = state;
+      if (configuration !== undefined) server.applyLimits(configuration.limits);
+      return proxy.handle(call);
+    },
+  });
+  return server;
+}
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -109,16 +109,16 @@
     const random = createRandom(3);
     const directory = new EntryDirectory(members, clock);
     const link = { send: () => true };
-    const calls = new CallBook(
-      'm',
-      table,
+    const calls = new CallBook({
+      selfName: 'm',
+      targets: table,
       outstanding,
       directory,
       link,
       clock,
       counters,
-      silentLogger,
-    );
+      logger: silentLogger,
+    });
     const place = { zone: 'z', region: 'r' };
     const allowance = new RetryAllowance({ ratio: 0.2, allowance: 20 }, () => 1);
     const connections = {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,7 +14,8 @@
   RequestKind,
 } from './GatewayConfiguration.js';
 export type { ConfigurationPage, GatewayStore, StorePosition, TargetPage } from './GatewayStore.js';
-export type { Gateway, GatewayOptions } from './wireGateway.js';
+export type { Gateway } from './wireGateway.js';
+export type { GatewayOptions, StopTimes } from './GatewayOptions.js';
 export type { RefusalReason, RefusalRule } from './Refusal.js';
 export type { TargetChange, TargetEntry } from './TargetEntry.js';
 export type { TargetFieldNames } from './TargetCall.js';
