--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -0,0 +1,168 @@
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
+import { Counters, createRandom, systemClock } from '@cactusrun/core';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { CallerCall, CallerOutcome } from '../../CallerCall.js';
+import CallerServer from '../../CallerServer.js';
+import type { TargetAnswer } from '../../TargetCall.js';
+
+const HOST = '127.0.8.1';
+const PORT = 18_549;
+const LIMITS = {
+  headerBytes: 1_000,
+  bodyBytes: 100,
+  headerMilliseconds: 3_000,
+  idleMilliseconds: 5_000,
+};
+
+function createAnswer(change: Partial<TargetAnswer> = {}): CallerOutcome {
+  const answer: TargetAnswer = {
+    status: 200,
+    fields: [['X-Signature', 's']],
+    head: Buffer.from('whole'),
+    rest: undefined,
+    requestsThere: undefined,
+    isFramed: true,
+    isSigned: true,
+    ...change,
+  };
+  return { kind: 'answered', answer };
+}
+
+describe('CallerServer', () => {
+  let server: CallerServer;
+  let calls: CallerCall[];
+  let handle: (call: CallerCall) => Promise<CallerOutcome>;
+  let sockets: Socket[];
+
+  beforeEach(async () => {
+    calls = [];
+    sockets = [];
+    handle = async () => createAnswer();
+    server = new CallerServer({
+      address: `${HOST}:${PORT}`,
+      names: {
+        attemptId: 'X-Attempt',
+        deadline: 'X-Deadline',
+        withheld: new Set(['x-attempt', 'x-deadline', 'x-expected']),
+      },
+      clock: systemClock,
+      random: createRandom(1),
+      counters: new Counters(),
+      limits: () => LIMITS,
+      handle: (call) => {
+        calls.push(call);
+        return handle(call);
+      },
+    });
+    await server.start();
+  });
+
+  afterEach(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.closeNow();
+  });
+
+  /** Sends bytes and returns what came until the connection ended or `isWhole` says so. */
+  function exchange(bytes: string, isWhole: (text: string) => boolean): Promise<string> {
+    return new Promise((resolve) => {
+      const socket = connect(PORT, HOST);
+      sockets.push(socket);
+      let text = '';
+      socket.on('data', (part) => {
+        text += part.toString();
+        if (isWhole(text)) resolve(text);
+      });
+      socket.on('close', () => resolve(text));
+      socket.on('error', () => {});
+      socket.write(bytes);
+    });
+  }
+
+  const never = () => false;
+  const until = (end: string) => (text: string) => text.endsWith(end);
+
+  function request(more = '', body = ''): string {
+    const length = body === '' ? '' : `content-length: ${body.length}\r\n`;
+    const head = `POST /a/b?c HTTP/1.1\r\nhost: h.example\r\nX-Attempt: a-1\r\n`;
+    return `${head}X-Deadline: 900\r\n${more}${length}\r\n${body}`;
+  }
+
+  describe('a request', () => {
+    it('is described whole, without what belongs to the connection or the gateway', async () => {
+      const more = 'X-Expected: t\r\nX-Other: o\r\nConnection: keep-alive, x-hop\r\nX-Hop: h\r\n';
+      await exchange(request(more, 'body'), until('whole'));
+      expect(calls).toMatchObject([
+        { id: 'a-1', host: 'h.example', method: 'POST', path: '/a/b?c', deadlineMilliseconds: 900 },
+      ]);
+      expect(calls[0]?.body.toString()).toBe('body');
+      expect(calls[0]?.fields).toEqual([
+        ['host', 'h.example'],
+        ['X-Other', 'o'],
+      ]);
+    });
+
+    it('is cancelled when its caller leaves', async () => {
+      handle = () => new Promise(() => {});
+      exchange(request('', 'body'), never).catch(() => {});
+      await systemClock.sleep(50);
+      sockets[0]?.destroy();
+      await systemClock.sleep(50);
+      expect(calls[0]?.signal.aborted).toBe(true);
+    });
+  });
+
+  describe('an answer', () => {
+    it('with a length keeps the connection', async () => {
+      const text = await exchange(request(), until('whole'));
+      expect(text).toContain('content-length: 5');
+      expect(text).not.toContain('connection: close');
+    });
+
+    it('whose end is not known for sure ends with the connection and states no length', async () => {
+      handle = async () => createAnswer({ isFramed: false });
+      const text = await exchange(request(), never);
+      expect(text).toMatch(/connection: close/i);
+      expect(text).not.toMatch(/content-length|transfer-encoding/i);
+      expect(text.endsWith('\r\n\r\nwhole')).toBe(true);
+    });
+
+    it('ends the connection once the daemon leaves', async () => {
+      server.beginLeaving();
+      expect(await exchange(request(), never)).toContain('connection: close');
+    });
+  });
+
+  describe('a refusal', () => {
+    it('that is surely not run says when to come back', async () => {
+      handle = async () => ({ kind: 'refused', reason: 'overloaded' });
+      const text = await exchange(request(), until('}\n'));
+      expect(text).toContain('HTTP/1.1 503');
+      expect(text).toMatch(/retry-after: 0\.\d\d/);
+    });
+
+    it('that may have run promises nothing', async () => {
+      handle = async () => ({ kind: 'refused', reason: 'connection-broke' });
+      const text = await exchange(request(), until('}\n'));
+      expect(text).toContain('HTTP/1.1 502');
+      expect(text).not.toContain('retry-after');
+    });
+  });
+
+  describe('bad input', () => {
+    const smuggled = 'content-length: 4\r\ntransfer-encoding: chunked\r\n';
+    const cases: readonly (readonly [string, string, string])[] = [
+      ['no HTTP', 'rubbish\r\n\r\n', '400'],
+      ['two kinds of framing', request(smuggled), '400'],
+      ['a body over the limit', request('', 'x'.repeat(101)), '413'],
+      ['header fields over the limit', request(`X-Long: ${'x'.repeat(1_000)}\r\n`), '431'],
+    ];
+    cases.forEach(([name, bytes, status]) => {
+      it(`${name} gets ${status} and reaches nobody`, async () => {
+        const text = await exchange(bytes, (seen) => seen.includes('\r\n\r\n'));
+        expect(text).toContain(`HTTP/1.1 ${status}`);
+        expect(calls).toHaveLength(0);
+      });
+    });
+  });
+});
