Give idle targets a request before the service lives on too few of them

Change: TargetCoverage names targets that are due for a request; FailureShares tells how much of a service fails. The picker takes its parts as one object.

--- a/packages/gateway/src/CallBook.ts
+++ b/packages/gateway/src/CallBook.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock, Counters, Logger } from '@cactusrun/core';
 import type EntryDirectory from './EntryDirectory.js';
+import type FailureShares from './FailureShares.js';
 import type OutstandingCalls from './OutstandingCalls.js';
 import type { PeerSender } from './PeerLink.js';
 import type { CallOutcome, CallReport } from './PeerMessage.js';
@@ -32,6 +33,7 @@
   readonly selfName: string;
   readonly targets: TargetTable;
   readonly outstanding: OutstandingCalls;
+  readonly failures: FailureShares;
   readonly directory: EntryDirectory;
   readonly link: PeerSender;
   readonly clock: Clock;
@@ -117,6 +119,9 @@
       this.parts.outstanding.noteSeen(id, target.entry.slots * 2, now);
       return;
     }
+    if (outcome !== 'stalled') {
+      this.parts.failures.note(target.entry.service, outcome !== 'good');
+    }
     const before = target.belief.probabilityAt(now);
     target.belief.observe(now, OBSERVATIONS[outcome], now - elapsed);
     const after = target.belief.probabilityAt(now);
--- a/packages/gateway/src/GatewayParts.ts
+++ b/packages/gateway/src/GatewayParts.ts
@@ -2,6 +2,7 @@
 import type { CrashWatch } from '@cactusrun/requests';
 import type CallBook from './CallBook.js';
 import CallerServer from './CallerServer.js';
+import FailureShares from './FailureShares.js';
 import FleetMembers from './FleetMembers.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 import GatewayState from './GatewayState.js';
@@ -12,6 +13,7 @@
 import ServiceTimes from './ServiceTimes.js';
 import { DEFAULT_SICKNESS_RATES } from './SicknessBelief.js';
 import TargetConnections from './TargetConnections.js';
+import TargetCoverage from './TargetCoverage.js';
 import TargetPicker from './TargetPicker.js';
 import TargetTable from './TargetTable.js';
 
@@ -21,6 +23,7 @@
   readonly outstanding: OutstandingCalls;
   readonly connections: TargetConnections;
   readonly times: ServiceTimes;
+  readonly failures: FailureShares;
   readonly members: FleetMembers;
   readonly state: GatewayState;
 }
@@ -34,6 +37,7 @@
   const outstanding = new OutstandingCalls();
   const connections = new TargetConnections(options.targetFields, clock, counters);
   const times = new ServiceTimes();
+  const failures = new FailureShares(clock);
   const members = new FleetMembers(describeSelf, clock, logger, (name) =>
     outstanding.forgetPeer(name),
   );
@@ -45,7 +49,7 @@
       times.forget(change.id);
     });
   });
-  return { targets, outstanding, connections, times, members, state };
+  return { targets, outstanding, connections, times, failures, members, state };
 }
 
 function buildProxy(
@@ -63,21 +67,23 @@
     allowances.set(service, known);
     return known;
   };
-  const picker = new TargetPicker(
-    { zone: options.zone, region: options.region },
-    (zone) => options.regions[zone],
-    knowledge.targets,
-    knowledge.outstanding,
-    knowledge.times,
+  const picker = new TargetPicker({
+    place: { zone: options.zone, region: options.region },
+    regionOf: (zone) => options.regions[zone],
+    targets: knowledge.targets,
+    outstanding: knowledge.outstanding,
+    times: knowledge.times,
+    coverage: new TargetCoverage(clock, knowledge.failures),
     clock,
     random,
-  );
+  });
   return new RequestProxy({
     state: knowledge.state,
     picker,
     calls,
     connections: knowledge.connections,
     times: knowledge.times,
+    failures: knowledge.failures,
     crashes,
     allowanceOf,
     clock,
--- a/packages/gateway/src/RequestProxy.ts
+++ b/packages/gateway/src/RequestProxy.ts
@@ -5,6 +5,7 @@
 import { refuse } from './CallerCall.js';
 import type { GatewayRoute } from './GatewayConfiguration.js';
 import { chooseService, findRoute } from './GatewayConfiguration.js';
+import type FailureShares from './FailureShares.js';
 import type GatewayState from './GatewayState.js';
 import type { RefusalReason } from './Refusal.js';
 import type { RequestJourneyParts } from './RequestJourney.js';
@@ -19,6 +20,7 @@
 export interface RequestProxyParts extends RequestJourneyParts {
   readonly state: GatewayState;
   readonly random: Random;
+  readonly failures: FailureShares;
 }
 
 export default class RequestProxy {
@@ -78,6 +80,7 @@
     const status = outcome.kind === 'answered' ? outcome.answer.status : undefined;
     const isFailure = status === undefined || status >= SERVER_ERROR_STATUS;
     const result = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
+    if (outcome.kind === 'refused') this.parts.failures.note(service, true);
     counters.time('request', milliseconds);
     counters.add('outcomes', isFailure && status !== undefined ? 'target-failed' : result);
     this.answered += isFailure ? 0 : 1;
--- a/packages/gateway/src/SicknessBelief.ts
+++ b/packages/gateway/src/SicknessBelief.ts
@@ -79,6 +79,8 @@
 
   private suspicion: Suspicion | undefined;
 
+  private lastFailureAt = Number.NEGATIVE_INFINITY;
+
   constructor(
     private readonly rates: SicknessRates,
     private readonly length: EpisodeLength,
@@ -120,6 +122,11 @@
     return this.updatedAt;
   }
 
+  /** Monotonic time of the last failure that was seen. */
+  public get failedAt(): number {
+    return this.lastFailureAt;
+  }
+
   /** Monotonic time of the first failure of the present suspicion, if there is one. */
   public get suspectedSince(): number | undefined {
     return this.suspicion?.since;
@@ -133,6 +140,7 @@
    */
   public observe(now: number, observation: Observation, startedAt = now): void {
     const { suspicion } = this;
+    if (observation === 'failed') this.lastFailureAt = now;
     if (observation === 'good' && suspicion !== undefined && startedAt < suspicion.since) {
       this.boundOnset(now, suspicion, startedAt);
       return;
--- a/packages/gateway/src/TargetPicker.ts
+++ b/packages/gateway/src/TargetPicker.ts
@@ -8,6 +8,8 @@
 import type { RequestKind } from './GatewayConfiguration.js';
 import type OutstandingCalls from './OutstandingCalls.js';
 import type ServiceTimes from './ServiceTimes.js';
+import type TargetCoverage from './TargetCoverage.js';
+import type { DueReason } from './TargetCoverage.js';
 import type TargetTable from './TargetTable.js';
 import type { KnownTarget } from './TargetTable.js';
 
@@ -34,6 +36,8 @@
 const RANDOM_COST = 0.01;
 /** Gain of the first request to a target that no daemon has used: it has yet to be known. */
 const FIRST_USE_GAIN = 0.4;
+/** Gain of a request to an idle target: it shows whether the target is well. */
+const DUE_GAINS: Readonly<Record<DueReason, number>> = { idle: 0.4, floor: 2 };
 /** A target counts as new for this long. */
 const NEW_MILLISECONDS = 10_000;
 
@@ -56,6 +60,8 @@
   readonly waitMilliseconds: number;
   readonly failureProbability: number;
   readonly requestsThere: number;
+  /** Set when the target has had no request for a while. */
+  readonly due: DueReason | undefined;
 }
 
 export type PickResult =
@@ -69,25 +75,31 @@
   readonly region: string;
 }
 
+export interface TargetPickerParts {
+  /** Where this daemon runs. */
+  readonly place: Place;
+  readonly regionOf: (zone: string) => string | undefined;
+  readonly targets: TargetTable;
+  readonly outstanding: OutstandingCalls;
+  readonly times: ServiceTimes;
+  readonly coverage: TargetCoverage;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
 export default class TargetPicker {
-  constructor(
-    private readonly place: Place,
-    private readonly regionOf: (zone: string) => string | undefined,
-    private readonly targets: TargetTable,
-    private readonly outstanding: OutstandingCalls,
-    private readonly times: ServiceTimes,
-    private readonly clock: Clock,
-    private readonly random: Random,
-  ) {}
+  constructor(private readonly parts: TargetPickerParts) {}
 
   public pick(query: PickQuery): PickResult {
-    const now = this.clock.now();
-    const usable = this.targets
+    const now = this.parts.clock.now();
+    const usable = this.parts.targets
       .usable(query.service)
       .filter(({ entry }) => !query.excluded.has(entry.id));
     const reachable = usable.filter(({ blockedUntil }) => blockedUntil <= now);
     const candidates = reachable.length > 0 ? reachable : usable;
-    const picks = candidates.map((target) => this.estimate(target, query.service, now));
+    const near = candidates.filter(({ entry }) => !this.isFar(entry.zone));
+    const due = this.parts.coverage.due(query.service, near);
+    const picks = candidates.map((target) => this.estimate(target, query.service, now, due));
     const fitting = picks.filter(
       ({ expectedMilliseconds }) => expectedMilliseconds < query.remainingMilliseconds,
     );
@@ -107,11 +119,16 @@
       )?.pick;
   }
 
-  private estimate(target: KnownTarget, service: string, now: number): Pick {
+  private estimate(
+    target: KnownTarget,
+    service: string,
+    now: number,
+    due: ReadonlyMap<string, DueReason>,
+  ): Pick {
     const { entry } = target;
-    const requestsThere = this.outstanding.at(entry.id, now);
+    const requestsThere = this.parts.outstanding.at(entry.id, now);
     const cold = target.coldUntil > now ? COLD_FACTOR : 1;
-    const work = this.times.meanOf(service) * this.times.slownessOf(entry.id) * cold;
+    const work = this.parts.times.meanOf(service) * this.parts.times.slownessOf(entry.id) * cold;
     const rounds = Math.max(1, (requestsThere + 1) / entry.slots);
     const way = this.isFar(entry.zone) ? REGION_MILLISECONDS : 0;
     return {
@@ -120,6 +137,7 @@
       waitMilliseconds: work * (rounds - 1),
       failureProbability: target.belief.failureAt(now),
       requestsThere,
+      due: due.get(entry.id),
     };
   }
 
@@ -132,30 +150,32 @@
       LATENESS_COST * (pick.expectedMilliseconds / query.objectiveMilliseconds) ** LATENESS_POWER;
     const overflow = pick.requestsThere >= entry.slots * (1 + QUEUE_PER_SLOT) ? 1 : 0;
     const firstUse = this.isUnknown(pick) ? FIRST_USE_GAIN : 0;
+    const dueGain = pick.due === undefined ? 0 : DUE_GAINS[pick.due];
     return (
       failure * failureCost -
-      firstUse +
+      firstUse -
+      dueGain +
       lateness +
       overflow +
       this.wayCost(entry.zone, query.bodyBytes) +
-      this.random.unit() * RANDOM_COST
+      this.parts.random.unit() * RANDOM_COST
     );
   }
 
   /** Whether a new target has had no request yet. */
   private isUnknown({ target, requestsThere }: Pick): boolean {
-    const isNew = this.clock.now() - target.joinedAt < NEW_MILLISECONDS;
+    const isNew = this.parts.clock.now() - target.joinedAt < NEW_MILLISECONDS;
     return isNew && target.usedAt === 0 && requestsThere === 0;
   }
 
   private wayCost(zone: string, bodyBytes: number): number {
-    if (zone === this.place.zone) return 0;
+    if (zone === this.parts.place.zone) return 0;
     return this.isFar(zone)
       ? REGION_COST + bodyBytes * REGION_COST_PER_BYTE
       : ZONE_COST + bodyBytes * ZONE_COST_PER_BYTE;
   }
 
   private isFar(zone: string): boolean {
-    return this.regionOf(zone) !== this.place.region;
+    return this.parts.regionOf(zone) !== this.parts.place.region;
   }
 }
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -3,6 +3,7 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import CallBook from '../../CallBook.js';
 import EntryDirectory from '../../EntryDirectory.js';
+import FailureShares from '../../FailureShares.js';
 import FleetMembers from '../../FleetMembers.js';
 import type {
   GatewayConfiguration,
@@ -18,6 +19,7 @@
 import { DEFAULT_SICKNESS_RATES } from '../../SicknessBelief.js';
 import type { CallResult, OutgoingRequest } from '../../TargetCall.js';
 import type TargetConnections from '../../TargetConnections.js';
+import TargetCoverage from '../../TargetCoverage.js';
 import TargetPicker from '../../TargetPicker.js';
 import TargetTable from '../../TargetTable.js';
 import describeHost from './describeHost.js';
@@ -106,6 +108,7 @@
     const members = new FleetMembers(self, clock, silentLogger, () => {});
     const outstanding = new OutstandingCalls();
     const times = new ServiceTimes();
+    const failures = new FailureShares(clock);
     const random = createRandom(3);
     const directory = new EntryDirectory(members, clock);
     const link = { send: () => true };
@@ -113,13 +116,23 @@
       selfName: 'm',
       targets: table,
       outstanding,
+      failures,
       directory,
       link,
       clock,
       counters,
       logger: silentLogger,
     });
-    const place = { zone: 'z', region: 'r' };
+    const picker = new TargetPicker({
+      place: { zone: 'z', region: 'r' },
+      regionOf: () => 'r',
+      targets: table,
+      outstanding,
+      times,
+      coverage: new TargetCoverage(clock, failures),
+      clock,
+      random,
+    });
     const allowance = new RetryAllowance({ ratio: 0.2, allowance: 20 }, () => 1);
     const connections = {
       send: (target: { id: string }, request: OutgoingRequest, signal: AbortSignal) => {
@@ -130,7 +143,8 @@
     };
     return new RequestProxy({
       state,
-      picker: new TargetPicker(place, () => 'r', table, outstanding, times, clock, random),
+      picker,
+      failures,
       calls,
       connections: connections as unknown as TargetConnections,
       times,
--- a/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
@@ -1,10 +1,12 @@
 import { createRandom, ManualClock } from '@cactusrun/core';
 import { beforeEach, describe, expect, it } from 'vitest';
+import FailureShares from '../../FailureShares.js';
 import OutstandingCalls from '../../OutstandingCalls.js';
 import ServiceTimes from '../../ServiceTimes.js';
 import { DEFAULT_SICKNESS_RATES } from '../../SicknessBelief.js';
 import type { TargetEntry } from '../../TargetEntry.js';
 import type { PickQuery } from '../../TargetPicker.js';
+import TargetCoverage from '../../TargetCoverage.js';
 import TargetPicker from '../../TargetPicker.js';
 import TargetTable from '../../TargetTable.js';
 
@@ -37,6 +39,7 @@
   let table: TargetTable;
   let outstanding: OutstandingCalls;
   let times: ServiceTimes;
+  let failures: FailureShares;
   let picker: TargetPicker;
 
   beforeEach(() => {
@@ -46,7 +49,17 @@
     times = new ServiceTimes();
     const place = { zone: 'near', region: 'west' };
     const regionOf = (zone: string) => REGIONS[zone];
-    picker = new TargetPicker(place, regionOf, table, outstanding, times, clock, createRandom(1));
+    failures = new FailureShares(clock);
+    picker = new TargetPicker({
+      place,
+      regionOf,
+      targets: table,
+      outstanding,
+      times,
+      coverage: new TargetCoverage(clock, failures),
+      clock,
+      random: createRandom(1),
+    });
   });
 
   function addTargets(...entries: readonly TargetEntry[]): void {
@@ -56,8 +69,8 @@
     });
   }
 
-  function observe(id: string, ...failures: readonly boolean[]): void {
-    failures.forEach((hasFailed) =>
+  function observe(id: string, ...ends: readonly boolean[]): void {
+    ends.forEach((hasFailed) =>
       table.get(id)!.belief.observe(clock.now(), hasFailed ? 'failed' : 'good'),
     );
   }
@@ -99,6 +112,46 @@
     });
   });
 
+  describe('with idle targets', () => {
+    /** Plays light load for a while; returns which targets had a request in the last two seconds. */
+    function playLightLoad(seconds: number, isSick: (id: string) => boolean): readonly string[] {
+      const usedAt = new Map<string, number>();
+      Array.from({ length: seconds * 10 }).forEach(() => {
+        clock.pause(100);
+        const id = pickId();
+        usedAt.set(id, clock.now());
+        const target = table.get(id)!;
+        target.usedAt = clock.now();
+        target.belief.observe(clock.now(), isSick(id) ? 'failed' : 'good');
+        failures.note('orders', isSick(id));
+      });
+      return [...usedAt].filter(([, at]) => clock.now() - at <= 2_000).map(([id]) => id);
+    }
+
+    const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+    it('uses targets again that failed once and are well', () => {
+      addTargets(...ids.map((id) => createEntry(id)));
+      ['a', 'b', 'c', 'd'].forEach((id) => observe(id, true));
+      expect(playLightLoad(20, () => false)).toHaveLength(ids.length);
+    });
+
+    it('leaves a sick target alone while little fails', () => {
+      addTargets(...ids.map((id) => createEntry(id)));
+      observe('a', true, true);
+      ids.slice(1).forEach((id) => observe(id, false, false));
+      expect(playLightLoad(3, () => false)).not.toContain('a');
+    });
+
+    it('uses the floor of the targets while much fails, also those that look sick', () => {
+      addTargets(...ids.map((id) => createEntry(id)));
+      ids.slice(2).forEach((id) => observe(id, true, true));
+      clock.pause(2_100);
+      Array.from({ length: 20 }).forEach((_, index) => failures.note('orders', index % 5 === 0));
+      expect(playLightLoad(2, () => false).length).toBeGreaterThanOrEqual(ids.length * 0.7);
+    });
+  });
+
   describe('with load', () => {
     it('prefers free slots among equals', () => {
       addTargets(createEntry('busy'), createEntry('idle'));
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -62,7 +62,7 @@
 
 function buildLinks(options: GatewayOptions, daemon: LocalDaemon, knowledge: Knowledge): Links {
   const { name, clock, counters, logger, random } = options;
-  const { members, state, targets, outstanding } = knowledge;
+  const { members, state, targets, outstanding, failures } = knowledge;
   // Messages arrive only after the link is started, when the handlers are there.
   let handlers: PeerHandlers | undefined;
   const link = new PeerLink(options.peerAddress, counters, logger, (message, from) => {
@@ -77,6 +77,7 @@
     selfName: name,
     targets,
     outstanding,
+    failures,
     directory,
     link,
     clock,
