Beat seldom across zones, await the first configuration, share the retry budget by hearing

Found in reading: a caller that left while a connection was being opened still had its request sent elsewhere.

Change: heartbeats say when the next one comes; other zones hear a quarter of them, entries among each other all, only entries tell sick targets. A request that comes while a daemon has no configuration waits for up to a quarter of its time, 1 s at most. Beginnings of calls say whether they repeat; a region stops at its part of the budget, and a bucket that is larger while peers are heard bounds one daemon. Requests of callers that left are sent nowhere. The test "refused at once without a configuration" became "after a quarter of their time at most"; those of cancelled callers and of waiting requests failed first.

--- a/packages/gateway/src/CallBook.ts
+++ b/packages/gateway/src/CallBook.ts
@@ -8,6 +8,7 @@
 import type OutstandingCalls from './OutstandingCalls.js';
 import type { PeerSender } from './PeerLink.js';
 import type { CallOutcome, CallReport } from './PeerMessage.js';
+import type RetryAllowances from './RetryAllowances.js';
 import type { Observation } from './SicknessBelief.js';
 import type TargetTable from './TargetTable.js';
 import type { KnownTarget } from './TargetTable.js';
@@ -34,6 +35,7 @@
   readonly targets: TargetTable;
   readonly outstanding: OutstandingCalls;
   readonly failures: FailureShares;
+  readonly allowances: RetryAllowances;
   readonly directory: EntryDirectory;
   readonly link: PeerSender;
   readonly clock: Clock;
@@ -46,12 +48,16 @@
 
   constructor(private readonly parts: CallBookParts) {}
 
-  /** This daemon is about to send a request to the target. */
-  public begin(target: KnownTarget): void {
+  /**
+   * This daemon is about to send a request to the target.
+   *
+   * @param isRepeated - whether the request was sent before
+   */
+  public begin(target: KnownTarget, isRepeated: boolean): void {
     const { id } = target.entry;
     const outstanding = this.parts.outstanding.add(id, 1);
     this.parts.targets.get(id)!.usedAt = this.parts.clock.now();
-    this.tell({ target: id, outstanding });
+    this.tell({ target: id, outstanding, begins: isRepeated ? 'repeated' : 'fresh' });
   }
 
   /**
@@ -100,11 +106,14 @@
   /** A peer reported on its calls. */
   public hear(peer: string, reports: readonly CallReport[]): void {
     const now = this.parts.clock.now();
-    reports.forEach(({ target, outstanding, outcome, there, elapsed }) => {
+    reports.forEach(({ target, outstanding, begins, outcome, there, elapsed }) => {
       this.parts.outstanding.learn(peer, target, outstanding);
       const known = this.parts.targets.get(target);
       if (known === undefined) return;
-      if (outcome === undefined) known.usedAt = now;
+      if (begins !== undefined) {
+        known.usedAt = now;
+        this.parts.allowances.of(known.entry.service).hear(begins === 'repeated');
+      }
       if (there !== undefined) this.parts.outstanding.noteSeen(target, there, now);
       if (outcome !== undefined) this.weigh(target, outcome, elapsed ?? 0, peer);
     });
--- a/packages/gateway/src/EntryDirectory.ts
+++ b/packages/gateway/src/EntryDirectory.ts
@@ -19,6 +19,8 @@
 
   private entries: readonly string[] = [];
 
+  private isOwnEntry = false;
+
   private entriesAt = Number.NEGATIVE_INFINITY;
 
   constructor(
@@ -28,8 +30,19 @@
 
   /** Peer addresses of the other daemons of the region that serve callers, or are soon to. */
   public entryAddresses(): readonly string[] {
+    this.refresh();
+    return this.entries;
+  }
+
+  /** Whether callers are sent to this daemon. */
+  public isEntry(): boolean {
+    this.refresh();
+    return this.isOwnEntry;
+  }
+
+  private refresh(): void {
     const now = this.clock.now();
-    if (now - this.entriesAt < LIST_MILLISECONDS) return this.entries;
+    if (now - this.entriesAt < LIST_MILLISECONDS) return;
     const [self, ...others] = this.members.region();
     const ready = [self!, ...others].filter(({ state }) => state !== 'starting');
     const zones = [...new Set(ready.map(({ zone }) => zone))];
@@ -37,8 +50,8 @@
     const active = others.filter(({ name }) => this.members.isActive(name));
     const serving = [...entries, ...active].map(({ address }) => address);
     this.entries = [...new Set(serving)].filter((address) => address !== self?.address);
+    this.isOwnEntry = serving.includes(self!.address);
     this.entriesAt = now;
-    return this.entries;
   }
 
   /** Addresses for callers of a zone. */
--- a/packages/gateway/src/FleetMembers.ts
+++ b/packages/gateway/src/FleetMembers.ts
@@ -3,12 +3,16 @@
  * heartbeats; of other regions only addresses are kept, for daemons that start.
  */
 import type { Clock, Logger } from '@cactusrun/core';
-import type { PeerAddress, PeerDescription } from './PeerMessage.js';
+import type { DaemonState, PeerAddress, PeerDescription } from './PeerMessage.js';
 
 /** Missed heartbeats after which a member is taken for gone. */
 const MISSED_BEATS = 4;
+/** Pause between two heartbeats to the own availability zone, and between daemons that serve. */
 export const BEAT_MILLISECONDS = 600;
-const SILENT_MILLISECONDS = MISSED_BEATS * BEAT_MILLISECONDS;
+/** Every this many heartbeats one goes to the other members, whose failure nothing urgent rests on. */
+export const REMOTE_BEATS = 4;
+/** A member that has not yet said how often it is to be heard is awaited for this long. */
+const FIRST_LEASE_MILLISECONDS = MISSED_BEATS * BEAT_MILLISECONDS;
 /** A member that tells of this many requests within this time needs evidence; fewer are strays. */
 const ACTIVE_REPORTS = 4;
 const ACTIVE_MILLISECONDS = 3_000;
@@ -18,6 +22,17 @@
 export interface Member {
   readonly description: PeerDescription;
   readonly heardAt: number;
+  /** Time without a word after which the member is taken for gone. */
+  readonly leaseMilliseconds: number;
+}
+
+/** What a heartbeat says of its sender. */
+export interface MemberBeat {
+  readonly sender: string;
+  readonly incarnation: number;
+  readonly state: DaemonState;
+  /** Time until the sender's next one. */
+  readonly pauseMilliseconds: number;
 }
 
 export default class FleetMembers {
@@ -54,16 +69,26 @@
         state: description.state,
       });
     }
-    this.members.set(description.name, { description, heardAt: this.clock.now() });
+    this.members.set(description.name, {
+      description,
+      heardAt: this.clock.now(),
+      leaseMilliseconds:
+        isNew || known === undefined ? FIRST_LEASE_MILLISECONDS : known.leaseMilliseconds,
+    });
     return isNew;
   }
 
-  /** Notes a sign of life; returns whether its sender is known. */
-  public hearBeat(name: string, incarnation: number): boolean {
+  /** Notes a sign of life; returns whether the sender is known as it describes itself now. */
+  public hearBeat(beat: MemberBeat): boolean {
+    const { sender: name, incarnation, state, pauseMilliseconds } = beat;
     const known = this.members.get(name);
     if (known === undefined || known.description.incarnation !== incarnation) return false;
-    this.members.set(name, { ...known, heardAt: this.clock.now() });
-    return true;
+    this.members.set(name, {
+      ...known,
+      heardAt: this.clock.now(),
+      leaseMilliseconds: pauseMilliseconds * MISSED_BEATS,
+    });
+    return known.description.state === state;
   }
 
   /** Keeps addresses of daemons; returns those in the own region, or anywhere, that are not live. */
@@ -124,7 +149,7 @@
   public expire(): void {
     const now = this.clock.now();
     [...this.members.values()]
-      .filter(({ heardAt }) => now - heardAt > SILENT_MILLISECONDS)
+      .filter(({ heardAt, leaseMilliseconds }) => now - heardAt > leaseMilliseconds)
       .forEach(({ description, heardAt }) => {
         this.members.delete(description.name);
         this.logger.warn('member-silent', {
@@ -145,6 +170,14 @@
     return this.live().map(({ description }) => description.address);
   }
 
+  /** Addresses of the live members of the own availability zone. */
+  public nearAddresses(): readonly string[] {
+    const { zone } = this.self();
+    return this.live()
+      .filter(({ description }) => description.zone === zone)
+      .map(({ description }) => description.address);
+  }
+
   /** The live members and this daemon, as peers are told of them. */
   public liveAndSelf(): readonly PeerAddress[] {
     return this.region().map(({ address, region }) => ({ address, region }));
--- a/packages/gateway/src/GatewayParts.ts
+++ b/packages/gateway/src/GatewayParts.ts
@@ -9,7 +9,7 @@
 import OutstandingCalls from './OutstandingCalls.js';
 import type { PeerDescription } from './PeerMessage.js';
 import RequestProxy from './RequestProxy.js';
-import RetryAllowance from './RetryAllowance.js';
+import RetryAllowances from './RetryAllowances.js';
 import ServiceTimes from './ServiceTimes.js';
 import { DEFAULT_SICKNESS_RATES } from './SicknessBelief.js';
 import TargetConnections from './TargetConnections.js';
@@ -24,6 +24,7 @@
   readonly connections: TargetConnections;
   readonly times: ServiceTimes;
   readonly failures: FailureShares;
+  readonly allowances: RetryAllowances;
   readonly members: FleetMembers;
   readonly state: GatewayState;
 }
@@ -41,6 +42,8 @@
   const members = new FleetMembers(describeSelf, clock, logger, (name) =>
     outstanding.forgetPeer(name),
   );
+  const countMembers = () => members.countFleet();
+  const allowances = new RetryAllowances(options.retryBudget, countMembers, clock);
   const state = new GatewayState(options.decode, targets, clock, logger, (changes) => {
     changes.forEach((change) => {
       if (change.kind !== 'removed') return;
@@ -49,7 +52,7 @@
       times.forget(change.id);
     });
   });
-  return { targets, outstanding, connections, times, failures, members, state };
+  return { targets, outstanding, connections, times, failures, allowances, members, state };
 }
 
 function buildProxy(
@@ -59,14 +62,6 @@
   crashes: CrashWatch,
 ): RequestProxy {
   const { clock, random, counters, logger } = options;
-  const allowances = new Map<string, RetryAllowance>();
-  const allowanceOf = (service: string) => {
-    const known =
-      allowances.get(service) ??
-      new RetryAllowance(options.retryBudget, () => knowledge.members.countFleet());
-    allowances.set(service, known);
-    return known;
-  };
   const picker = new TargetPicker({
     place: { zone: options.zone, region: options.region },
     regionOf: (zone) => options.regions[zone],
@@ -85,7 +80,7 @@
     times: knowledge.times,
     failures: knowledge.failures,
     crashes,
-    allowanceOf,
+    allowances: knowledge.allowances,
     clock,
     random,
     counters,
--- a/packages/gateway/src/GatewayState.ts
+++ b/packages/gateway/src/GatewayState.ts
@@ -27,6 +27,9 @@
 
   private confirmedAt = Number.NEGATIVE_INFINITY;
 
+  /** Called once requests can be served. */
+  private waiting: (() => void)[] = [];
+
   constructor(
     private readonly decode: (document: string) => GatewayConfiguration,
     private readonly targets: TargetTable,
@@ -52,6 +55,14 @@
     return this.inForce !== undefined && this.targetPosition !== NO_VERSION;
   }
 
+  /** Resolves once requests can be served. */
+  public async whenComplete(): Promise<void> {
+    if (this.isComplete) return;
+    await new Promise<void>((resolve) => {
+      this.waiting.push(resolve);
+    });
+  }
+
   public versions(): KnownVersions {
     return {
       configuration: this.inForce?.version ?? NO_VERSION,
@@ -73,6 +84,7 @@
     if (configuration.version <= before) return;
     this.inForce = configuration;
     this.documentInForce = document;
+    this.releaseWaiting();
     this.logger.info('configuration-in-force', {
       version: configuration.version,
       before,
@@ -115,6 +127,7 @@
     source: string,
   ): readonly TargetChange[] {
     this.targetPosition = position;
+    this.releaseWaiting();
     if (effective.length === 0) return effective;
     this.logger.info('targets-changed', {
       position,
@@ -126,6 +139,13 @@
     return effective;
   }
 
+  private releaseWaiting(): void {
+    if (!this.isComplete) return;
+    const { waiting } = this;
+    this.waiting = [];
+    waiting.forEach((release) => release());
+  }
+
   private tryDecode(document: string, source: string): GatewayConfiguration | undefined {
     try {
       return this.decode(document);
--- a/packages/gateway/src/LocalDaemon.ts
+++ b/packages/gateway/src/LocalDaemon.ts
@@ -33,14 +33,18 @@
     return { kind: 'hello', sender: this.describe(), wantsReply };
   }
 
-  public beat(knowledge: Knowledge): Extract<PeerMessage, { kind: 'beat' }> {
+  public beat(
+    knowledge: Knowledge,
+    isEntry: boolean,
+  ): Omit<Extract<PeerMessage, { kind: 'beat' }>, 'pauseMilliseconds'> {
     return {
       kind: 'beat',
       sender: this.options.name,
       incarnation: this.incarnation,
+      state: this.daemonState,
       versions: knowledge.state.versions(),
       outstanding: knowledge.outstanding.listOwn(),
-      sick: knowledge.targets.sick(),
+      sick: isEntry ? knowledge.targets.sick() : [],
     };
   }
 
--- a/packages/gateway/src/PeerCodec.ts
+++ b/packages/gateway/src/PeerCodec.ts
@@ -2,7 +2,14 @@
  * Messages between daemons as bytes: JSON, the frequent kinds as lists of their fields in a fixed
  * order, since every byte between availability zones is paid for.
  */
-import type { CallOutcome, CallReport, PeerMessage, PeerMessageKind } from './PeerMessage.js';
+import type {
+  CallBeginning,
+  CallOutcome,
+  CallReport,
+  DaemonState,
+  PeerMessage,
+  PeerMessageKind,
+} from './PeerMessage.js';
 
 type Calls = Extract<PeerMessage, { kind: 'calls' }>;
 type Beat = Extract<PeerMessage, { kind: 'beat' }>;
@@ -16,6 +23,8 @@
   number,
   number,
   number,
+  number,
+  number,
   Record<string, number>,
   SickFields[],
 ];
@@ -29,8 +38,11 @@
   'crash',
 ] satisfies readonly PeerMessageKind[];
 
-/** Outcomes by their number on the wire; 0 stands for none. */
+/** What is told of a request, by its number on the wire; 0 stands for nothing. */
 const OUTCOMES: readonly CallOutcome[] = ['good', 'failed', 'refused', 'unreachable', 'stalled'];
+const BEGINNINGS: readonly CallBeginning[] = ['fresh', 'repeated'];
+/** States by their number on the wire. */
+const STATES: readonly DaemonState[] = ['starting', 'ready', 'leaving'];
 const NONE = -1;
 
 /** The bytes of a message. */
@@ -58,22 +70,32 @@
 }
 
 function packCalls({ sender, reports }: Calls): CallsFields {
-  const rows = reports.map(({ target, outstanding, outcome, there, elapsed }): ReportFields => [
-    target,
-    outstanding,
-    outcome === undefined ? 0 : OUTCOMES.indexOf(outcome) + 1,
-    there ?? NONE,
-    elapsed ?? NONE,
-  ]);
+  const rows = reports.map(
+    ({ target, outstanding, begins, outcome, there, elapsed }): ReportFields => [
+      target,
+      outstanding,
+      numberOf(begins, outcome),
+      there ?? NONE,
+      elapsed ?? NONE,
+    ],
+  );
   return ['calls', sender, rows];
 }
 
+/** Beginnings are numbered downwards from -1, outcomes upwards from 1. */
+function numberOf(begins: CallBeginning | undefined, outcome: CallOutcome | undefined): number {
+  if (begins !== undefined) return -1 - BEGINNINGS.indexOf(begins);
+  return outcome === undefined ? 0 : OUTCOMES.indexOf(outcome) + 1;
+}
+
 function unpackCalls([, sender, rows]: CallsFields): Calls {
   const reports = rows.map(([target, outstanding, number, there, elapsed]): CallReport => {
     const outcome = OUTCOMES[number - 1];
+    const begins = BEGINNINGS[-1 - number];
     return {
       target,
       outstanding,
+      ...(begins === undefined ? {} : { begins }),
       ...(outcome === undefined ? {} : { outcome }),
       ...(there === NONE ? {} : { there }),
       ...(elapsed === NONE ? {} : { elapsed }),
@@ -82,16 +104,35 @@
   return { kind: 'calls', sender, reports };
 }
 
-function packBeat({ sender, incarnation, versions, outstanding, sick }: Beat): BeatFields {
-  const { configuration, targets, ageMilliseconds } = versions;
-  const rows = sick.map((one): SickFields => [one.target, one.ageMilliseconds]);
-  return ['beat', sender, incarnation, configuration, targets, ageMilliseconds, outstanding, rows];
+function packBeat(beat: Beat): BeatFields {
+  const { configuration, targets, ageMilliseconds } = beat.versions;
+  return [
+    'beat',
+    beat.sender,
+    beat.incarnation,
+    STATES.indexOf(beat.state),
+    beat.pauseMilliseconds,
+    configuration,
+    targets,
+    ageMilliseconds,
+    beat.outstanding,
+    beat.sick.map((one): SickFields => [one.target, one.ageMilliseconds]),
+  ];
 }
 
-function unpackBeat(fields: BeatFields): Beat {
-  const [, sender, incarnation, configuration, targets, ageMilliseconds, outstanding, rows] =
-    fields;
-  const versions = { configuration, targets, ageMilliseconds };
-  const sick = rows.map(([target, age]) => ({ target, ageMilliseconds: age }));
-  return { kind: 'beat', sender, incarnation, versions, outstanding, sick };
+function unpackBeat(fields: BeatFields): Beat | undefined {
+  const [, sender, incarnation, stateNumber, pauseMilliseconds, ...known] = fields;
+  const [configuration, targets, ageMilliseconds, outstanding, rows] = known;
+  const state = STATES[stateNumber];
+  if (state === undefined) return undefined;
+  return {
+    kind: 'beat',
+    sender,
+    incarnation,
+    state,
+    pauseMilliseconds,
+    versions: { configuration, targets, ageMilliseconds },
+    outstanding,
+    sick: rows.map(([target, age]) => ({ target, ageMilliseconds: age })),
+  };
 }
--- a/packages/gateway/src/PeerMessage.ts
+++ b/packages/gateway/src/PeerMessage.ts
@@ -46,10 +46,15 @@
 /** How one request to a target ended, or that it has stalled, as evidence on the target. */
 export type CallOutcome = 'good' | 'failed' | 'refused' | 'unreachable' | 'stalled';
 
+/** How a sending of a request begins. */
+export type CallBeginning = 'fresh' | 'repeated';
+
 /** One target and the sender's requests there; with an outcome when a request has just ended. */
 export interface CallReport {
   readonly target: string;
   readonly outstanding: number;
+  /** Set when a request is sent: whether it is so for the first time. */
+  readonly begins?: CallBeginning;
   readonly outcome?: CallOutcome;
   /** Milliseconds from the start of that request to its end. */
   readonly elapsed?: number;
@@ -70,9 +75,13 @@
       readonly kind: 'beat';
       readonly sender: string;
       readonly incarnation: number;
+      readonly state: DaemonState;
+      /** Time until the sender's next heartbeat to the same receiver. */
+      readonly pauseMilliseconds: number;
       readonly versions: KnownVersions;
       /** All requests of the sender, by target. */
       readonly outstanding: Readonly<Record<string, number>>;
+      /** Told by daemons that serve callers; the others only know what they were told. */
       readonly sick: readonly SickTarget[];
     }
   /** Daemons that the sender knows, so that all come to know one another. */
--- a/packages/gateway/src/RequestJourney.ts
+++ b/packages/gateway/src/RequestJourney.ts
@@ -8,7 +8,7 @@
 import { refuse } from './CallerCall.js';
 import type { GatewayRoute } from './GatewayConfiguration.js';
 import type { RefusalReason } from './Refusal.js';
-import type RetryAllowance from './RetryAllowance.js';
+import type RetryAllowances from './RetryAllowances.js';
 import type { CallResult, TargetAnswer } from './TargetCall.js';
 import type TargetPicker from './TargetPicker.js';
 import type { Pick, PickResult } from './TargetPicker.js';
@@ -24,7 +24,7 @@
 export interface RequestJourneyParts extends TargetRunParts {
   readonly picker: TargetPicker;
   readonly crashes: CrashWatch;
-  readonly allowanceOf: (service: string) => RetryAllowance;
+  readonly allowances: RetryAllowances;
   readonly counters: Counters;
   readonly logger: Logger;
 }
@@ -99,6 +99,7 @@
   }
 
   private async attempt(): Promise<Step> {
+    if (this.plan.call.signal.aborted) return { kind: 'done', outcome: { kind: 'cancelled' } };
     const remaining = this.plan.deadline - this.parts.clock.now();
     if (remaining < SMALLEST_REMAINING_MILLISECONDS) return this.conclude('too-late');
     const picked = this.pick();
@@ -123,11 +124,11 @@
   }
 
   private maySendAgain(): boolean {
-    const { counters, logger, allowanceOf } = this.parts;
+    const { counters, logger, allowances } = this.parts;
     const { call, route, service } = this.plan;
     const attempts = this.sendings + this.underWay;
     const isAllowed = attempts < route.maximumAttempts;
-    const isPaid = isAllowed && allowanceOf(service).withdraw();
+    const isPaid = isAllowed && allowances.of(service).withdraw();
     const unpaid = isAllowed ? 'budget-spent' : 'attempts-used';
     const outcome = isPaid ? 'sent-again' : unpaid;
     counters.add('retries', outcome);
@@ -147,6 +148,7 @@
   private start(pick: Pick): TargetRun {
     const { call, route, service, deadline } = this.plan;
     this.excluded.add(pick.target.entry.id);
+    const isRepeated = this.sendings + this.underWay > 0;
     this.underWay += 1;
     const request = {
       id: call.id,
@@ -156,6 +158,7 @@
       body: call.body,
       kind: route.kind === 'idempotent' ? 'repeatable' : 'once',
       deadline,
+      isRepeated,
     } as const;
     return startTargetRun(this.parts, pick, service, request, call.signal);
   }
--- a/packages/gateway/src/RequestProxy.ts
+++ b/packages/gateway/src/RequestProxy.ts
@@ -17,6 +17,11 @@
 /** One good answer in this many is logged. */
 const ANSWERED_SAMPLE = 64;
 
+/** A daemon that has just started waits this long for its configuration: some reads of the store. */
+const START_WAIT_MILLISECONDS = 1_000;
+/** Part of the time of a caller that may pass so. */
+const START_WAIT_SHARE = 0.25;
+
 export interface RequestProxyParts extends RequestJourneyParts {
   readonly state: GatewayState;
   readonly random: Random;
@@ -29,7 +34,8 @@
   constructor(private readonly parts: RequestProxyParts) {}
 
   public async handle(call: CallerCall): Promise<CallerOutcome> {
-    const { state, random, crashes, allowanceOf } = this.parts;
+    const { state, random, crashes, allowances } = this.parts;
+    if (!state.isComplete) await this.awaitState(call);
     const { configuration } = state;
     if (configuration === undefined || !state.isComplete) {
       return this.refuseUnrouted(call, 'no-configuration');
@@ -40,7 +46,7 @@
     if (service === undefined) return this.refuseUnrouted(call, 'no-target');
     const fingerprint = fingerprintOf(call);
     const deadline = deadlineOf(call, route);
-    allowanceOf(service).deposit();
+    allowances.of(service).deposit();
     const outcome = crashes.isHeld(fingerprint)
       ? refuse('held-back')
       : await new RequestJourney(this.parts, {
@@ -54,6 +60,17 @@
     return outcome;
   }
 
+  /** Waits a little for the configuration and the registry, which come soon after the start. */
+  private async awaitState(call: CallerCall): Promise<void> {
+    const { state, clock, counters } = this.parts;
+    const waits = (call.deadlineMilliseconds ?? Number.POSITIVE_INFINITY) * START_WAIT_SHARE;
+    const limit = new AbortController();
+    const timeout = clock.sleep(Math.min(START_WAIT_MILLISECONDS, waits), limit.signal);
+    await Promise.race([state.whenComplete(), timeout]);
+    limit.abort();
+    counters.add('callers', state.isComplete ? 'awaited-state' : 'without-state');
+  }
+
   private refuseUnrouted(call: CallerCall, reason: RefusalReason): CallerOutcome {
     const { state, counters, logger } = this.parts;
     counters.add('outcomes', reason);
--- a/packages/gateway/src/TargetCall.ts
+++ b/packages/gateway/src/TargetCall.ts
@@ -16,6 +16,8 @@
   readonly kind: 'repeatable' | 'once';
   /** Monotonic time at which the answer must be there. */
   readonly deadline: number;
+  /** Whether a target may have had the request before. */
+  readonly isRepeated: boolean;
 }
 
 export interface TargetAnswer {
--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/TargetConnections.ts
@@ -50,10 +50,15 @@
     request: OutgoingRequest,
     signal: AbortSignal,
   ): Promise<CallResult> {
+    if (signal.aborted) return { kind: 'cancelled' };
     const reused = this.takeIdle(target.id, request);
     if (reused !== undefined) return this.exchange(target, request, reused, true, signal);
     const socket = await this.open(target, signal);
-    if ('detail' in socket) return socket;
+    if ('kind' in socket) return socket;
+    if (signal.aborted) {
+      socket.destroy();
+      return { kind: 'cancelled' };
+    }
     return this.exchange(target, request, socket, false, signal);
   }
 
@@ -115,18 +120,20 @@
   private open(
     target: TargetEntry,
     signal: AbortSignal,
-  ): Promise<Socket | Extract<CallResult, { kind: 'not-sent' }>> {
+  ): Promise<Socket | Extract<CallResult, { kind: 'not-sent' | 'cancelled' }>> {
     const [host, port] = target.address.split(':');
     this.counters.add('target_connections', 'opened');
     return new Promise((resolve) => {
       const socket = connect({ host: host ?? '', port: Number(port), noDelay: true });
       let cancel = () => {};
-      const fail = (detail: string, isRefused: boolean) => {
+      const end = (result: Extract<CallResult, { kind: 'not-sent' | 'cancelled' }>) => {
         cancel();
         socket.destroy();
-        resolve({ kind: 'not-sent', detail, isRefused });
+        resolve(result);
       };
-      const onAbort = () => fail('cancelled', false);
+      const fail = (detail: string, isRefused: boolean) =>
+        end({ kind: 'not-sent', detail, isRefused });
+      const onAbort = () => end({ kind: 'cancelled' });
       cancel = this.clock.after(CONNECT_MILLISECONDS, () => fail('no connection in time', false));
       signal.addEventListener('abort', onAbort, { once: true });
       socket.on('error', (error: NodeJS.ErrnoException) =>
--- a/packages/gateway/src/TargetRun.ts
+++ b/packages/gateway/src/TargetRun.ts
@@ -48,7 +48,7 @@
       resolve();
     });
   });
-  calls.begin(pick.target);
+  calls.begin(pick.target, request.isRepeated);
   const exchange = async (): Promise<CallResult> => {
     const signal = AbortSignal.any([callerSignal, controller.signal]);
     const result = await connections.send(entry, request, signal);
--- a/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
+++ b/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
@@ -2,9 +2,14 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import EntryDirectory from '../../EntryDirectory.js';
 import FleetMembers, { BEAT_MILLISECONDS } from '../../FleetMembers.js';
+import type { MemberBeat } from '../../FleetMembers.js';
 import type { DaemonState } from '../../PeerMessage.js';
 import describeHost from './describeHost.js';
 
+function beatOf(sender: string, incarnation = 1, change: Partial<MemberBeat> = {}): MemberBeat {
+  return { sender, incarnation, state: 'ready', pauseMilliseconds: BEAT_MILLISECONDS, ...change };
+}
+
 describe('FleetMembers', () => {
   let clock: ManualClock;
   let gone: string[];
@@ -24,7 +29,7 @@
       members.hear(describeHost('a'));
       members.hear(describeHost('b'));
       await clock.advance(3 * BEAT_MILLISECONDS);
-      expect(members.hearBeat('a', 1)).toBe(true);
+      expect(members.hearBeat(beatOf('a', 1))).toBe(true);
       await clock.advance(2 * BEAT_MILLISECONDS);
       members.expire();
       expect(members.liveAddresses()).toEqual(['a:1']);
@@ -33,8 +38,24 @@
 
     it('of an unknown or restarted daemon ask for its description', () => {
       members.hear(describeHost('a'));
-      expect(members.hearBeat('a', 2)).toBe(false);
-      expect(members.hearBeat('c', 1)).toBe(false);
+      expect(members.hearBeat(beatOf('a', 2))).toBe(false);
+      expect(members.hearBeat(beatOf('c', 1))).toBe(false);
+    });
+
+    it('of a member that is heard seldom keep it for longer', async () => {
+      members.hear(describeHost('a'));
+      members.hearBeat(beatOf('a', 1, { pauseMilliseconds: 4 * BEAT_MILLISECONDS }));
+      await clock.advance(12 * BEAT_MILLISECONDS);
+      members.expire();
+      expect(members.liveAddresses()).toEqual(['a:1']);
+      await clock.advance(5 * BEAT_MILLISECONDS);
+      members.expire();
+      expect(gone).toEqual(['a']);
+    });
+
+    it('in a state other than the one described ask for a description', () => {
+      members.hear(describeHost('a'));
+      expect(members.hearBeat(beatOf('a', 1, { state: 'leaving' }))).toBe(false);
     });
 
     it('of an earlier process under the same name change nothing', () => {
@@ -112,7 +133,7 @@
       members.hear(describeHost('b'));
       members.hear(describeHost('c'));
       await clock.advance(3 * BEAT_MILLISECONDS);
-      members.hearBeat('b', 1);
+      members.hearBeat(beatOf('b', 1));
       await clock.advance(2 * BEAT_MILLISECONDS);
       members.expire();
       expect(directory.addressesFor('z')).toEqual(['b:2']);
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/Heartbeat.test.ts
@@ -0,0 +1,131 @@
+import type { Stop } from '@cactusrun/core';
+import { createRandom, ManualClock, silentLogger } from '@cactusrun/core';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import EntryDirectory from '../../EntryDirectory.js';
+import FleetMembers, { BEAT_MILLISECONDS } from '../../FleetMembers.js';
+import { startHeartbeat } from '../../Heartbeat.js';
+import type { PeerMessage } from '../../PeerMessage.js';
+import describeHost from './describeHost.js';
+
+const MEMBERS_PER_ZONE = 12;
+const ROUNDS = 40;
+const VERSIONS = { configuration: 1, targets: 1, ageMilliseconds: 0 };
+
+describe('Heartbeat', () => {
+  let clock: ManualClock;
+  let members: FleetMembers;
+  let directory: EntryDirectory;
+  let sent: { readonly address: string; readonly message: PeerMessage }[];
+  let stop: Stop;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    sent = [];
+  });
+
+  afterEach(async () => {
+    await stop();
+  });
+
+  /** Plays some rounds of a daemon among twelve of its own zone and twelve of another. */
+  async function play(name: string): Promise<void> {
+    members = new FleetMembers(
+      () => describeHost(name, { zone: 'near' }),
+      clock,
+      silentLogger,
+      () => {},
+    );
+    directory = new EntryDirectory(members, clock);
+    ['near', 'remote'].forEach((zone) => {
+      Array.from({ length: MEMBERS_PER_ZONE }, (_, index) => `${zone}${index}`)
+        .filter((other) => other !== name)
+        .forEach((other) => members.hear(describeHost(other, { zone })));
+    });
+    const known = members.live().map(({ description }) => description);
+    stop = startHeartbeat({
+      name,
+      beat: () => ({
+        kind: 'beat',
+        sender: name,
+        incarnation: 1,
+        state: 'ready',
+        versions: VERSIONS,
+        outstanding: {},
+        sick: [{ target: 't', ageMilliseconds: 1 }],
+      }),
+      hello: () => ({
+        kind: 'hello',
+        sender: describeHost(name, { zone: 'near' }),
+        wantsReply: false,
+      }),
+      members,
+      directory,
+      link: {
+        send: (addresses, message) => {
+          sent.push(...addresses.map((address) => ({ address, message })));
+          return true;
+        },
+      },
+      seeds: [],
+      clock,
+      random: createRandom(1),
+    });
+    await advanceKeeping(known);
+  }
+
+  /** Rounds in which every other member goes on being heard. */
+  async function advanceKeeping(known: readonly Parameters<FleetMembers['hear']>[0][]) {
+    await Array.from({ length: ROUNDS }).reduce<Promise<void>>(async (before) => {
+      await before;
+      known.forEach((one) => members.hear(one));
+      await clock.advance(BEAT_MILLISECONDS);
+    }, Promise.resolve());
+  }
+
+  function beatsTo(prefix: string): readonly Extract<PeerMessage, { kind: 'beat' }>[] {
+    return sent
+      .filter(({ address }) => address.startsWith(prefix))
+      .flatMap(({ message }) => (message.kind === 'beat' ? [message] : []));
+  }
+
+  /** A daemon of the zone whose rank makes it an entry, or not. */
+  function nameOf(isEntry: boolean): string {
+    return Array.from({ length: MEMBERS_PER_ZONE }, (_, index) => `near${index}`).find((name) => {
+      const fleet = new FleetMembers(
+        () => describeHost(name, { zone: 'near' }),
+        clock,
+        silentLogger,
+        () => {},
+      );
+      Array.from({ length: MEMBERS_PER_ZONE }, (_, index) => `near${index}`)
+        .filter((other) => other !== name)
+        .forEach((other) => fleet.hear(describeHost(other, { zone: 'near' })));
+      return new EntryDirectory(fleet, clock).isEntry() === isEntry;
+    })!;
+  }
+
+  describe('of a daemon that serves no callers', () => {
+    it('reaches other zones a quarter as often, and says so', async () => {
+      await play(nameOf(false));
+      const near = beatsTo('near').length / (MEMBERS_PER_ZONE - 1);
+      const remote = beatsTo('remote').length / MEMBERS_PER_ZONE;
+      expect(near).toBeGreaterThanOrEqual(ROUNDS);
+      expect(remote).toBeLessThanOrEqual(near / 4 + 1);
+      expect(beatsTo('remote').map(({ pauseMilliseconds }) => pauseMilliseconds)).not.toContain(
+        BEAT_MILLISECONDS,
+      );
+    });
+  });
+
+  describe('of a daemon that serves callers', () => {
+    it('reaches the entries of other zones each time, with sick targets at times', async () => {
+      await play(nameOf(true));
+      const entry = directory.entryAddresses().find((address) => address.startsWith('remote'))!;
+      expect(beatsTo(entry).length).toBeGreaterThanOrEqual(ROUNDS);
+      expect(beatsTo(entry).filter(({ sick }) => sick.length > 0).length).toBeLessThanOrEqual(
+        ROUNDS / 4 + 1,
+      );
+      expect(beatsTo('near').every(({ sick }) => sick.length > 0)).toBe(true);
+    });
+  });
+});
--- a/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
@@ -23,6 +23,8 @@
     kind: 'beat',
     sender: 'host-1',
     incarnation: 5,
+    state: 'leaving',
+    pauseMilliseconds: 600,
     versions: VERSIONS,
     outstanding: { t: 2 },
     sick: [{ target: 'u', ageMilliseconds: 40 }],
@@ -33,6 +35,8 @@
     sender: 'host-1',
     reports: [
       { target: 't', outstanding: 1 },
+      { target: 't', outstanding: 1, begins: 'fresh' },
+      { target: 't', outstanding: 2, begins: 'repeated' },
       { target: 't', outstanding: 0, outcome: 'good', there: 0, elapsed: 40 },
       { target: 'u', outstanding: 3, outcome: 'unreachable' },
     ],
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -14,7 +14,7 @@
 import OutstandingCalls from '../../OutstandingCalls.js';
 import type { CallerCall, CallerOutcome } from '../../CallerCall.js';
 import RequestProxy from '../../RequestProxy.js';
-import RetryAllowance from '../../RetryAllowance.js';
+import RetryAllowances from '../../RetryAllowances.js';
 import ServiceTimes from '../../ServiceTimes.js';
 import { DEFAULT_SICKNESS_RATES } from '../../SicknessBelief.js';
 import type { CallResult, OutgoingRequest } from '../../TargetCall.js';
@@ -61,12 +61,16 @@
 
 const LIMITS = { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 };
 
+const BUDGET = { ratio: 0.2, allowance: 40, windowMilliseconds: 10_000, regions: 1 };
+
 describe('RequestProxy', () => {
   let clock: ManualClock;
   let sent: OutgoingRequest[];
   let script: (target: string, signal: AbortSignal) => Promise<CallResult>;
   let proxy: RequestProxy;
   let isKnown: boolean;
+  /** Makes a configuration and a registry known to the proxy. */
+  let makeKnown: () => void;
 
   beforeEach(() => {
     clock = new ManualClock();
@@ -100,10 +104,11 @@
       coldMilliseconds: 0,
       bornAt: 1,
     }));
-    if (isKnown) {
+    makeKnown = () => {
       state.takeDocument('1', 'test');
       state.takeTargets(targets, 1, 'test');
-    }
+    };
+    if (isKnown) makeKnown();
     const self = () => describeHost('m');
     const members = new FleetMembers(self, clock, silentLogger, () => {});
     const outstanding = new OutstandingCalls();
@@ -112,11 +117,13 @@
     const random = createRandom(3);
     const directory = new EntryDirectory(members, clock);
     const link = { send: () => true };
+    const allowances = new RetryAllowances(BUDGET, () => 1, clock);
     const calls = new CallBook({
       selfName: 'm',
       targets: table,
       outstanding,
       failures,
+      allowances,
       directory,
       link,
       clock,
@@ -133,7 +140,6 @@
       clock,
       random,
     });
-    const allowance = new RetryAllowance({ ratio: 0.2, allowance: 20 }, () => 1);
     const connections = {
       send: (target: { id: string }, request: OutgoingRequest, signal: AbortSignal) => {
         sent.push(request);
@@ -149,7 +155,7 @@
       connections: connections as unknown as TargetConnections,
       times,
       crashes: new CrashWatch(clock, counters, () => {}),
-      allowanceOf: () => allowance,
+      allowances,
       clock,
       random,
       counters,
@@ -217,11 +223,12 @@
   });
 
   describe('requests that cannot be served', () => {
-    it('are refused at once without a configuration', async () => {
+    it('are refused without a configuration, after a quarter of their time at most', async () => {
       isKnown = false;
       proxy = createProxy();
-      const outcome = await proxy.handle(createCall('idempotent'));
-      expect(describeOutcome(outcome)).toBe('no-configuration');
+      const outcome = proxy.handle(createCall('idempotent', { deadlineMilliseconds: 1_000 }));
+      await clock.advance(250);
+      expect(describeOutcome(await outcome)).toBe('no-configuration');
     });
 
     it('are refused at once without a route', async () => {
@@ -236,6 +243,44 @@
     });
   });
 
+  describe('requests that come while the daemon starts', () => {
+    beforeEach(() => {
+      isKnown = false;
+      proxy = createProxy();
+    });
+
+    it('are served once the configuration and the registry are known', async () => {
+      answerInTurn('good');
+      const outcome = proxy.handle(createCall('non-idempotent'));
+      await clock.advance(200);
+      makeKnown();
+      expect(describeOutcome(await outcome)).toBe('200');
+    });
+
+    it('are not sent when their caller has left meanwhile', async () => {
+      const caller = new AbortController();
+      const outcome = proxy.handle(createCall('idempotent', { signal: caller.signal }));
+      await clock.advance(200);
+      caller.abort();
+      makeKnown();
+      expect(describeOutcome(await outcome)).toBe('cancelled');
+      expect(sent).toHaveLength(0);
+    });
+  });
+
+  describe('a caller that leaves while no connection comes about', () => {
+    it('has its request sent nowhere else', async () => {
+      const caller = new AbortController();
+      script = async () => {
+        caller.abort();
+        return RESULTS.unreached;
+      };
+      const outcome = await proxy.handle(createCall('idempotent', { signal: caller.signal }));
+      expect(describeOutcome(outcome)).toBe('cancelled');
+      expect(sent).toHaveLength(1);
+    });
+  });
+
   describe('time', () => {
     it('passes on what is left of the shorter of deadline and route', async () => {
       answerInTurn('good', 'good');
--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -81,6 +81,7 @@
       fields: [['host', 'h.example']],
       body: Buffer.from('body'),
       kind: 'once',
+      isRepeated: false,
       deadline: systemClock.now() + 5_000,
       ...change,
     };
@@ -198,6 +199,7 @@
         fields: [],
         body: Buffer.alloc(0),
         kind: 'once',
+        isRepeated: false,
         deadline: systemClock.now() + 1_000,
       };
       const result = await connections.send(target, request, new AbortController().signal);
@@ -213,6 +215,12 @@
       expect(sockets[0]?.destroyed).toBe(true);
     });
 
+    it('sends nothing for a caller that has left before', async () => {
+      const result = await send({}, AbortSignal.abort());
+      expect(result.kind).toBe('cancelled');
+      expect(requests).toHaveLength(0);
+    });
+
     it('closes the connection when the caller leaves', async () => {
       script = () => {};
       const controller = new AbortController();
--- a/packages/gateway/src/peerHandlers.ts
+++ b/packages/gateway/src/peerHandlers.ts
@@ -46,7 +46,7 @@
       link.send(some, { kind: 'peers', sender: name, peers: [{ address, region }] });
     },
     beat: (message, from) => {
-      if (!members.hearBeat(message.sender, message.incarnation)) {
+      if (!members.hearBeat(message)) {
         link.send([from], daemon.hello(true));
         return;
       }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -62,7 +62,7 @@
 
 function buildLinks(options: GatewayOptions, daemon: LocalDaemon, knowledge: Knowledge): Links {
   const { name, clock, counters, logger, random } = options;
-  const { members, state, targets, outstanding, failures } = knowledge;
+  const { members, state, targets, outstanding, failures, allowances } = knowledge;
   // Messages arrive only after the link is started, when the handlers are there.
   let handlers: PeerHandlers | undefined;
   const link = new PeerLink(options.peerAddress, counters, logger, (message, from) => {
@@ -78,6 +78,7 @@
     targets,
     outstanding,
     failures,
+    allowances,
     directory,
     link,
     clock,
@@ -104,7 +105,7 @@
   options: GatewayOptions,
   daemon: LocalDaemon,
   knowledge: Knowledge,
-  { link, follower }: Links,
+  { link, follower, directory }: Links,
 ): Promise<Stop> {
   const { name, peerAddress, store, clock, logger, random } = options;
   const { members, state } = knowledge;
@@ -116,10 +117,11 @@
     name,
     beat: () => {
       daemon.checkReady(knowledge, link);
-      return daemon.beat(knowledge);
+      return daemon.beat(knowledge, directory.isEntry());
     },
     hello: () => daemon.hello(members.live().length === 0),
     members,
+    directory,
     link,
     seeds: options.seeds.filter((seed) => seed !== peerAddress),
     clock,
