Return to targets once their episode is over, and only as many as the floor asks

Returns were tried from 8 s on, inside the episode, and each cost a request; coverage of every likely target exposed requests to more targets than needed.

Change: a failure past the expected length begins the next episode instead of prolonging the first; the first estimate is 9 s, late failures weigh less; targets are due only while fewer than 0.7 of a region's targets have had a request (0.8 while a tenth fails).

--- a/packages/gateway/src/EpisodeLength.ts
+++ b/packages/gateway/src/EpisodeLength.ts
@@ -4,11 +4,11 @@
  */
 
 /** Estimate before anything was seen, in milliseconds. */
-const FIRST_MILLISECONDS = 8_000;
+const FIRST_MILLISECONDS = 9_000;
 const SHORTEST_MILLISECONDS = 1_000;
 const LONGEST_MILLISECONDS = 30_000;
 /** Weight of one late failure, and of one early recovery. */
-const LONGER_WEIGHT = 0.5;
+const LONGER_WEIGHT = 0.2;
 const SHORTER_WEIGHT = 0.1;
 
 export default class EpisodeLength {
--- a/packages/gateway/src/SicknessBelief.ts
+++ b/packages/gateway/src/SicknessBelief.ts
@@ -52,7 +52,9 @@
 };
 
 /** Part of the expected length after which an episode may be over. */
-const EARLY_SHARE = 0.9;
+const EARLY_SHARE = 0.95;
+/** A failure after this part of the expected length belongs to another episode. */
+const NEXT_EPISODE_SHARE = 1.1;
 /** Time after an episode in which a recovery is likely; later the target is as any other. */
 const LATE_MILLISECONDS = 4_000;
 /** Probability below which a target is taken for well again. */
@@ -149,13 +151,14 @@
     const { sick, well } = LIKELIHOODS[observation](this.rates);
     const ratio = sick / well;
     if (suspicion !== undefined) {
-      this.suspicion = { ...suspicion, ratio: suspicion.ratio * ratio };
+      const since = observation === 'failed' ? this.episodeStart(now, suspicion) : suspicion.since;
+      this.suspicion = { ...suspicion, since, ratio: suspicion.ratio * ratio };
     } else if (observation === 'failed') {
       this.suspicion = { since: now, prior, ratio };
     }
     this.probability = update(prior, ratio);
     this.updatedAt = now;
-    this.followEpisode(now, observation);
+    this.followEpisode(now, observation, suspicion?.since ?? now);
   }
 
   /** A peer takes the target for sick since a time; nothing newer may have been seen here. */
@@ -180,10 +183,18 @@
     if (this.probability <= WELL_PROBABILITY) this.suspicion = undefined;
   }
 
-  private followEpisode(now: number, observation: Observation): void {
+  /** The start of the episode that a failure belongs to: one that lasts follows on the one before. */
+  private episodeStart(now: number, { since }: Suspicion): number {
+    const length = this.length.milliseconds;
+    return now - since > length * NEXT_EPISODE_SHARE
+      ? Math.max(since + length, now - length / 2)
+      : since;
+  }
+
+  private followEpisode(now: number, observation: Observation, since: number): void {
     const { suspicion } = this;
     if (suspicion === undefined) return;
-    const age = now - suspicion.since;
+    const age = now - since;
     if (observation === 'failed') this.length.noteFailure(age);
     if (this.probability > WELL_PROBABILITY) return;
     if (observation === 'good') this.length.noteRecovery(age);
--- a/packages/gateway/src/TargetCoverage.ts
+++ b/packages/gateway/src/TargetCoverage.ts
@@ -1,8 +1,9 @@
 /**
  * Keeps enough targets of a service at work. Placing by expected loss alone leaves a target that
  * was suspected once without requests for as long as others have room: nobody learns that it is well
- * again, and the service lives on ever fewer targets. A target that has been idle for a while is due
- * for one request. Answers light load, at which nothing else spreads the work.
+ * again, and the service lives on ever fewer targets. When too few targets have had a request of
+ * late, idle ones are due for one, as long as they are likely to be well or much fails anyway.
+ * Answers light load, at which nothing else spreads the work.
  */
 import type { Clock } from '@cactusrun/core';
 import type FailureShares from './FailureShares.js';
@@ -12,16 +13,19 @@
 const IDLE_MILLISECONDS = 1_400;
 /** A target is left alone for this long after a failure. */
 const FAILED_MILLISECONDS = 2_000;
-/** Chance of sickness up to which an idle target is due. */
-const LIKELY_WELL = 0.45;
-/** Share of failures at which a service must not live on few targets: half of the tolerated tenth. */
-const TROUBLED_SHARE = 0.06;
-/** Share of the targets that gets requests while much fails: the floor of 0.7 and a margin. */
-const COVERED_SHARE = 0.85;
+/** Chance of sickness up to which an idle target is due: that of one of which nothing is known. */
+const LIKELY_WELL = 0.32;
+/** Share of failures from which on a service must not live on few targets: the tolerated tenth. */
+const TROUBLED_SHARE = 0.09;
+/** Share of the targets of a region that gets requests: the floor, and more while much fails. */
+const COVERED_SHARE = 0.7;
+const COVERED_SHARE_TROUBLED = 0.8;
 
 /** Why a target should get the next request. */
 export type DueReason = 'idle' | 'floor';
 
+const NOTHING_DUE: ReadonlyMap<string, DueReason> = new Map();
+
 export default class TargetCoverage {
   constructor(
     private readonly clock: Clock,
@@ -38,11 +42,12 @@
     const sound = targets.filter(({ belief }) => now - belief.failedAt > FAILED_MILLISECONDS);
     const idle = sound.filter(({ usedAt }) => now - usedAt > IDLE_MILLISECONDS);
     const isTroubled = this.failures.of(service) >= TROUBLED_SHARE;
-    const isBelowFloor = isTroubled && sound.length - idle.length < sound.length * COVERED_SHARE;
+    const covered = isTroubled ? COVERED_SHARE_TROUBLED : COVERED_SHARE;
+    if (sound.length - idle.length >= sound.length * covered) return NOTHING_DUE;
     return new Map(
       idle.flatMap(({ entry, belief }): [string, DueReason][] => {
         if (belief.probabilityAt(now) < LIKELY_WELL) return [[entry.id, 'idle']];
-        return isBelowFloor ? [[entry.id, 'floor']] : [];
+        return isTroubled ? [[entry.id, 'floor']] : [];
       }),
     );
   }
