Serve callers on three ample hosts a zone; tell dropped idle connections from broken ones

On the grown sites hosts have 0.27 to 1.35 cores and links of 7 to 140 Mbit/s, and entries were chosen by hash alone. A write on a connection that the target dropped while it was idle counted as a failure of the target and as a crash of the request, which could hold an innocent one back for ten minutes.

Change: three entries a zone, the most capable hosts first (capacity from cores and link, up to ample). A reused connection that breaks within 100 ms is "dropped": weak evidence, repeated on a new connection where allowed, and further idle connections to that target, or to all once several drop, are reused only while hot. Reports to peers go out after 1 ms for failures, 4 ms for beginnings, 12 ms for good ends. Tests of drops and of reports failed first.

--- a/packages/gateway/src/CallBook.ts
+++ b/packages/gateway/src/CallBook.ts
@@ -5,6 +5,7 @@
 import type { Clock, Counters, Logger } from '@cactusrun/core';
 import type EntryDirectory from './EntryDirectory.js';
 import type FailureShares from './FailureShares.js';
+import type IdleReuse from './IdleReuse.js';
 import type OutstandingCalls from './OutstandingCalls.js';
 import type { PeerSender } from './PeerLink.js';
 import type { CallOutcome, CallReport } from './PeerMessage.js';
@@ -13,8 +14,13 @@
 import type TargetTable from './TargetTable.js';
 import type { KnownTarget } from './TargetTable.js';
 
-/** Reports are gathered this long before they go out together. */
-const GATHER_MILLISECONDS = 2;
+/**
+ * Reports go out together after the shortest of these times. Whoever places requests must know at once
+ * of failures, soon of requests that begin, and of room that is free again before it is needed.
+ */
+const TELL_FAILURE_MILLISECONDS = 1;
+const TELL_BEGINNING_MILLISECONDS = 4;
+const TELL_END_MILLISECONDS = 12;
 /** No daemon connects to a target for this long after its address refused a connection. */
 const REFUSED_MILLISECONDS = 1_000;
 /** This daemon does not connect for this long after a connection did not come about in time. */
@@ -28,6 +34,7 @@
   failed: 'failed',
   stalled: 'stalled',
   unreachable: 'failed',
+  dropped: 'dropped',
 };
 
 export interface CallBookParts {
@@ -35,6 +42,7 @@
   readonly targets: TargetTable;
   readonly outstanding: OutstandingCalls;
   readonly failures: FailureShares;
+  readonly idleReuse: IdleReuse;
   readonly allowances: RetryAllowances;
   readonly directory: EntryDirectory;
   readonly link: PeerSender;
@@ -46,6 +54,11 @@
 export default class CallBook {
   private pending: CallReport[] = [];
 
+  /** When the pending reports go out. */
+  private flushAt = Number.POSITIVE_INFINITY;
+
+  private cancelFlush: (() => void) | undefined;
+
   constructor(private readonly parts: CallBookParts) {}
 
   /**
@@ -128,6 +141,7 @@
       this.parts.outstanding.noteSeen(id, target.entry.slots * 2, now);
       return;
     }
+    if (outcome === 'dropped') this.parts.idleReuse.noteDrop(id);
     if (outcome !== 'stalled') {
       this.parts.failures.note(target.entry.service, outcome !== 'good');
     }
@@ -147,14 +161,19 @@
   }
 
   private tell(report: CallReport): void {
+    const { clock } = this.parts;
     this.pending.push(report);
-    if (this.pending.length > 1) return;
-    this.parts.clock.after(GATHER_MILLISECONDS, () => this.flush());
+    const wait = longestWait(report);
+    if (clock.now() + wait >= this.flushAt) return;
+    this.cancelFlush?.();
+    this.flushAt = clock.now() + wait;
+    this.cancelFlush = clock.after(wait, () => this.flush());
   }
 
   private flush(): void {
     const reports = this.pending;
     this.pending = [];
+    this.flushAt = Number.POSITIVE_INFINITY;
     this.parts.link.send(this.parts.directory.entryAddresses(), {
       kind: 'calls',
       sender: this.parts.selfName,
@@ -163,6 +182,12 @@
   }
 }
 
+function longestWait({ begins, outcome }: CallReport): number {
+  if (begins !== undefined) return TELL_BEGINNING_MILLISECONDS;
+  const isOrdinary = outcome === undefined || outcome === 'good';
+  return isOrdinary ? TELL_END_MILLISECONDS : TELL_FAILURE_MILLISECONDS;
+}
+
 function round(probability: number): number {
   return Math.round(probability * 1000) / 1000;
 }
--- a/packages/gateway/src/EntryDirectory.ts
+++ b/packages/gateway/src/EntryDirectory.ts
@@ -1,6 +1,7 @@
 /**
  * Which daemons the callers of a zone use. A few for each zone, the same on every daemon: fewer
- * entries need fewer connections to targets, and each sees more of them.
+ * entries need fewer connections to targets and fewer messages, and each sees more of them. Small
+ * hosts serve callers only where there are no others.
  */
 import { createHash } from 'node:crypto';
 import type { Clock } from '@cactusrun/core';
@@ -8,7 +9,7 @@
 import type { PeerDescription } from './PeerMessage.js';
 
 /** Daemons that one zone's callers are spread over. */
-const ENTRIES_PER_ZONE = 4;
+const ENTRIES_PER_ZONE = 3;
 /** With fewer entries than this in the zone, those of the region help out. */
 const FEWEST_ENTRIES = 2;
 /** Age at which the list of entries is made anew. */
@@ -64,7 +65,10 @@
 
   private first(members: readonly PeerDescription[]): readonly PeerDescription[] {
     return [...members]
-      .sort((left, right) => this.rankOf(left).localeCompare(this.rankOf(right)))
+      .sort(
+        (left, right) =>
+          right.capacity - left.capacity || this.rankOf(left).localeCompare(this.rankOf(right)),
+      )
       .slice(0, ENTRIES_PER_ZONE);
   }
 
--- a/packages/gateway/src/GatewayOptions.ts
+++ b/packages/gateway/src/GatewayOptions.ts
@@ -22,6 +22,7 @@
   readonly callerAddress: string;
   readonly peerAddress: string;
   readonly seeds: readonly string[];
+  /** From 0 to 1: that of a host which is large enough to serve callers. */
   readonly capacity: number;
   readonly retryBudget: RetryBudgetTerms;
   readonly stopTimes: StopTimes;
--- a/packages/gateway/src/GatewayParts.ts
+++ b/packages/gateway/src/GatewayParts.ts
@@ -6,6 +6,7 @@
 import FleetMembers from './FleetMembers.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 import GatewayState from './GatewayState.js';
+import IdleReuse from './IdleReuse.js';
 import OutstandingCalls from './OutstandingCalls.js';
 import type { PeerDescription } from './PeerMessage.js';
 import RequestProxy from './RequestProxy.js';
@@ -24,6 +25,7 @@
   readonly connections: TargetConnections;
   readonly times: ServiceTimes;
   readonly failures: FailureShares;
+  readonly idleReuse: IdleReuse;
   readonly allowances: RetryAllowances;
   readonly members: FleetMembers;
   readonly state: GatewayState;
@@ -36,7 +38,8 @@
   const { clock, counters, logger } = options;
   const targets = new TargetTable(clock, DEFAULT_SICKNESS_RATES);
   const outstanding = new OutstandingCalls();
-  const connections = new TargetConnections(options.targetFields, clock, counters);
+  const idleReuse = new IdleReuse(clock);
+  const connections = new TargetConnections(options.targetFields, idleReuse, clock, counters);
   const times = new ServiceTimes();
   const failures = new FailureShares(clock);
   const members = new FleetMembers(describeSelf, clock, logger, (name) =>
@@ -52,7 +55,17 @@
       times.forget(change.id);
     });
   });
-  return { targets, outstanding, connections, times, failures, allowances, members, state };
+  return {
+    targets,
+    outstanding,
+    connections,
+    times,
+    failures,
+    idleReuse,
+    allowances,
+    members,
+    state,
+  };
 }
 
 function buildProxy(
--- a/packages/gateway/src/PeerCodec.ts
+++ b/packages/gateway/src/PeerCodec.ts
@@ -39,7 +39,14 @@
 ] satisfies readonly PeerMessageKind[];
 
 /** What is told of a request, by its number on the wire; 0 stands for nothing. */
-const OUTCOMES: readonly CallOutcome[] = ['good', 'failed', 'refused', 'unreachable', 'stalled'];
+const OUTCOMES: readonly CallOutcome[] = [
+  'good',
+  'failed',
+  'refused',
+  'unreachable',
+  'stalled',
+  'dropped',
+];
 const BEGINNINGS: readonly CallBeginning[] = ['fresh', 'repeated'];
 /** States by their number on the wire. */
 const STATES: readonly DaemonState[] = ['starting', 'ready', 'leaving'];
--- a/packages/gateway/src/PeerMessage.ts
+++ b/packages/gateway/src/PeerMessage.ts
@@ -16,7 +16,7 @@
   readonly zone: string;
   readonly region: string;
   readonly state: DaemonState;
-  /** Relative capacity for callers' requests. */
+  /** Capacity for callers' requests, from 0 to 1: that of a host which is large enough. */
   readonly capacity: number;
 }
 
@@ -44,7 +44,7 @@
 }
 
 /** How one request to a target ended, or that it has stalled, as evidence on the target. */
-export type CallOutcome = 'good' | 'failed' | 'refused' | 'unreachable' | 'stalled';
+export type CallOutcome = 'good' | 'failed' | 'refused' | 'unreachable' | 'stalled' | 'dropped';
 
 /** How a sending of a request begins. */
 export type CallBeginning = 'fresh' | 'repeated';
--- a/packages/gateway/src/RequestJourney.ts
+++ b/packages/gateway/src/RequestJourney.ts
@@ -62,6 +62,9 @@
 
   private connectTries = 0;
 
+  /** Set when a target had dropped the idle connection that the request was sent on. */
+  private needsNewConnection = false;
+
   /** The last failure after which the request may have run. */
   private failure: CallerOutcome | undefined;
 
@@ -83,6 +86,10 @@
       this.parts.crashes.noteCrash(this.plan.fingerprint, target);
       return this.failRun('connection-broke');
     },
+    dropped: () => {
+      this.needsNewConnection = true;
+      return this.failRun('connection-broke');
+    },
     timeout: () => this.failRun('timeout'),
     cancelled: () => ({ kind: 'done', outcome: { kind: 'cancelled' } }),
   };
@@ -159,6 +166,7 @@
       kind: route.kind === 'idempotent' ? 'repeatable' : 'once',
       deadline,
       isRepeated,
+      needsNewConnection: this.needsNewConnection,
     } as const;
     return startTargetRun(this.parts, pick, service, request, call.signal);
   }
--- a/packages/gateway/src/SicknessBelief.ts
+++ b/packages/gateway/src/SicknessBelief.ts
@@ -23,10 +23,16 @@
   /** Share of the requests at a sick target, and at a well one, that take unusually long. */
   readonly stallShareSick: number;
   readonly stallShareWell: number;
+  /** Share of the idle connections that a sick target drops, and a well one. */
+  readonly dropShareSick: number;
+  readonly dropShareWell: number;
 }
 
-/** What was seen of one request at a target. A stalled one has not ended yet. */
-export type Observation = 'good' | 'failed' | 'stalled';
+/**
+ * What was seen of one request at a target. A stalled one has not ended yet; a dropped one was sent on
+ * an idle connection that had ended at the target.
+ */
+export type Observation = 'good' | 'failed' | 'stalled' | 'dropped';
 
 interface Likelihood {
   readonly sick: number;
@@ -37,6 +43,7 @@
   good: (rates) => ({ sick: 1 - rates.failureShareSick, well: 1 - rates.failureShareWell }),
   failed: (rates) => ({ sick: rates.failureShareSick, well: rates.failureShareWell }),
   stalled: (rates) => ({ sick: rates.stallShareSick, well: rates.stallShareWell }),
+  dropped: (rates) => ({ sick: rates.dropShareSick, well: rates.dropShareWell }),
 };
 
 /** Episodes as in a run without injected faults: 9 s long, 30% of the time, 3 in 4 requests failed. */
@@ -49,6 +56,8 @@
   failureShareWell: 0.012,
   stallShareSick: 0.5,
   stallShareWell: 0.03,
+  dropShareSick: 0.2,
+  dropShareWell: 0.04,
 };
 
 /** Part of the expected length after which an episode may be over. */
--- a/packages/gateway/src/TargetCall.ts
+++ b/packages/gateway/src/TargetCall.ts
@@ -18,6 +18,8 @@
   readonly deadline: number;
   /** Whether a target may have had the request before. */
   readonly isRepeated: boolean;
+  /** Whether an idle connection must not carry it. */
+  readonly needsNewConnection: boolean;
 }
 
 export interface TargetAnswer {
@@ -41,7 +43,9 @@
   /** No byte of the request was written. */
   | { readonly kind: 'not-sent'; readonly detail: string; readonly isRefused: boolean }
   /** The request was written and no whole answer came: it may have run. */
-  | { readonly kind: 'broken'; readonly detail: string; readonly isReused: boolean }
+  | { readonly kind: 'broken'; readonly detail: string }
+  /** The request was written on a connection that the target had dropped while idle; as broken. */
+  | { readonly kind: 'dropped'; readonly detail: string }
   | { readonly kind: 'timeout' }
   | { readonly kind: 'cancelled' };
 
--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/TargetConnections.ts
@@ -9,6 +9,8 @@
 import { PassThrough } from 'node:stream';
 import type { Clock, Counters } from '@cactusrun/core';
 import { endToEndHeaders, listHeaders } from '@cactusrun/requests';
+import type IdleReuse from './IdleReuse.js';
+import { HOT_MILLISECONDS } from './IdleReuse.js';
 import type { CallResult, OutgoingRequest, TargetAnswer, TargetFieldNames } from './TargetCall.js';
 import type { TargetEntry } from './TargetEntry.js';
 
@@ -22,6 +24,8 @@
 const FRESH_IDLE_MILLISECONDS = 6_000;
 /** Answers up to this size are read whole before the caller gets any of it. */
 const WHOLE_ANSWER_BYTES = 1_048_576;
+/** A write on a dropped connection is reset after a round trip; later the target had begun. */
+const DROP_MILLISECONDS = 100;
 const MISDIRECTED_STATUS = 421;
 const BODILESS_STATUSES: readonly number[] = [204, 304];
 const SECOND_MILLISECONDS = 1_000;
@@ -40,6 +44,7 @@
 
   constructor(
     private readonly names: TargetFieldNames,
+    private readonly idleReuse: IdleReuse,
     private readonly clock: Clock,
     private readonly counters: Counters,
   ) {}
@@ -52,14 +57,17 @@
   ): Promise<CallResult> {
     if (signal.aborted) return { kind: 'cancelled' };
     const reused = this.takeIdle(target.id, request);
-    if (reused !== undefined) return this.exchange(target, request, reused, true, signal);
+    if (reused !== undefined) {
+      const idle = this.clock.now() - reused.idleSince;
+      return this.exchange(target, request, reused.socket, idle, signal);
+    }
     const socket = await this.open(target, signal);
     if ('kind' in socket) return socket;
     if (signal.aborted) {
       socket.destroy();
       return { kind: 'cancelled' };
     }
-    return this.exchange(target, request, socket, false, signal);
+    return this.exchange(target, request, socket, 0, signal);
   }
 
   /** Closes the connections of a target that is gone. */
@@ -73,14 +81,18 @@
     [...this.idle.keys()].forEach((target) => this.forget(target));
   }
 
-  private takeIdle(target: string, request: OutgoingRequest): Socket | undefined {
+  private takeIdle(target: string, request: OutgoingRequest): IdleConnection | undefined {
+    if (request.needsNewConnection) return undefined;
     const now = this.clock.now();
     const list = this.idle.get(target) ?? [];
+    const longest = this.idleReuse.longestIdle(target);
     const isFresh = ({ idleSince, idleMilliseconds }: IdleConnection) =>
       now - idleSince <
-      (request.kind === 'once'
-        ? Math.min(idleMilliseconds, FRESH_IDLE_MILLISECONDS)
-        : idleMilliseconds);
+      Math.min(
+        idleMilliseconds,
+        longest,
+        request.kind === 'once' ? FRESH_IDLE_MILLISECONDS : idleMilliseconds,
+      );
     list
       .filter((connection) => now - connection.idleSince >= connection.idleMilliseconds)
       .forEach(({ socket }) => socket.destroy());
@@ -90,7 +102,7 @@
     ['data', 'end', 'error', 'close'].forEach((event) => {
       taken.socket.removeListener(event, taken.onUnexpected);
     });
-    return taken.socket.destroyed ? undefined : taken.socket;
+    return taken.socket.destroyed ? undefined : taken;
   }
 
   private keep(target: string, socket: Socket, idleMilliseconds: number): void {
@@ -153,7 +165,7 @@
     target: TargetEntry,
     request: OutgoingRequest,
     socket: Socket,
-    isReused: boolean,
+    idleMilliseconds: number,
     signal: AbortSignal,
   ): Promise<CallResult> {
     return new Promise((resolve) => {
@@ -181,10 +193,19 @@
         cancelTimer();
         signal.removeEventListener('abort', onAbort);
       };
-      const breakOff = (detail: string) => giveUp({ kind: 'broken', detail, isReused });
+      const startedAt = this.clock.now();
+      let hasAnswered = false;
+      const breakOff = (detail: string) => {
+        const isDrop =
+          !hasAnswered &&
+          idleMilliseconds > HOT_MILLISECONDS &&
+          this.clock.now() - startedAt < DROP_MILLISECONDS;
+        giveUp({ kind: isDrop ? 'dropped' : 'broken', detail });
+      };
       client.on('error', (error) => breakOff(error.message));
       client.on('close', () => breakOff('connection closed'));
       client.on('response', (response) => {
+        hasAnswered = true;
         this.read(response, request, settle, breakOff);
         socket.once('free', () => this.keep(target.id, socket, idleTimeOf(response)));
       });
--- a/packages/gateway/src/TargetRun.ts
+++ b/packages/gateway/src/TargetRun.ts
@@ -81,6 +81,7 @@
   'not-run': 'refused',
   'not-sent': undefined,
   broken: 'failed',
+  dropped: 'dropped',
   timeout: 'failed',
   cancelled: undefined,
 };
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/CallBook.test.ts
@@ -0,0 +1,83 @@
+import { Counters, ManualClock, silentLogger } from '@cactusrun/core';
+import { beforeEach, describe, expect, it } from 'vitest';
+import CallBook from '../../CallBook.js';
+import EntryDirectory from '../../EntryDirectory.js';
+import FailureShares from '../../FailureShares.js';
+import FleetMembers from '../../FleetMembers.js';
+import IdleReuse from '../../IdleReuse.js';
+import OutstandingCalls from '../../OutstandingCalls.js';
+import type { PeerMessage } from '../../PeerMessage.js';
+import RetryAllowances from '../../RetryAllowances.js';
+import { DEFAULT_SICKNESS_RATES } from '../../SicknessBelief.js';
+import TargetTable from '../../TargetTable.js';
+import describeHost from './describeHost.js';
+
+const BUDGET = { ratio: 0.2, allowance: 40, windowMilliseconds: 10_000, regions: 1 };
+
+describe('CallBook', () => {
+  let clock: ManualClock;
+  let targets: TargetTable;
+  let book: CallBook;
+  let sent: Extract<PeerMessage, { kind: 'calls' }>[];
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    sent = [];
+    targets = new TargetTable(clock, DEFAULT_SICKNESS_RATES);
+    const entry = { id: 't', address: '127.0.0.1:1', service: 's', zone: 'z', slots: 2 };
+    const present = { ...entry, isLeaving: false, coldMilliseconds: 0, bornAt: 1 };
+    targets.apply([{ kind: 'present', entry: present }]);
+    const members = new FleetMembers(
+      () => describeHost('m'),
+      clock,
+      silentLogger,
+      () => {},
+    );
+    members.hear(describeHost('a'));
+    book = new CallBook({
+      selfName: 'm',
+      targets,
+      outstanding: new OutstandingCalls(),
+      failures: new FailureShares(clock),
+      idleReuse: new IdleReuse(clock),
+      allowances: new RetryAllowances(BUDGET, () => 1, clock),
+      directory: new EntryDirectory(members, clock),
+      link: {
+        send: (_addresses, message) => {
+          if (message.kind === 'calls') sent.push(message);
+          return true;
+        },
+      },
+      clock,
+      counters: new Counters(),
+      logger: silentLogger,
+    });
+  });
+
+  describe('reports to peers', () => {
+    it('of a failure go out within 2 ms, with whatever waits', async () => {
+      book.begin(targets.get('t')!, false);
+      book.end('t', 'failed', 1, undefined);
+      await clock.advance(2);
+      expect(sent.map(({ reports }) => reports.length)).toEqual([2]);
+    });
+
+    it('of good ends are gathered, and go out with the next beginning', async () => {
+      book.end('t', 'good', 1, undefined);
+      book.end('t', 'good', 1, undefined);
+      await clock.advance(5);
+      expect(sent).toHaveLength(0);
+      book.begin(targets.get('t')!, false);
+      await clock.advance(5);
+      expect(sent.map(({ reports }) => reports.length)).toEqual([3]);
+    });
+
+    it('are all told once', async () => {
+      Array.from({ length: 20 }).forEach(() => book.end('t', 'good', 1, undefined));
+      await clock.advance(50);
+      book.begin(targets.get('t')!, false);
+      await clock.advance(50);
+      expect(sent.flatMap(({ reports }) => reports)).toHaveLength(21);
+    });
+  });
+});
--- a/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
+++ b/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
@@ -127,6 +127,17 @@
       expect(new EntryDirectory(other, clock).addressesFor('z')).toEqual(chosen);
     });
 
+    it('leaves small hosts out while there are others', () => {
+      const names = Array.from({ length: 12 }, (_, index) => `d${index}`);
+      names.forEach((name, index) =>
+        members.hear(describeHost(name, { capacity: index < 4 ? 1 : 0.3 })),
+      );
+      const chosen = directory.addressesFor('z');
+      expect(chosen.every((one) => ['m:2', 'd0:2', 'd1:2', 'd2:2', 'd3:2'].includes(one))).toBe(
+        true,
+      );
+    });
+
     it('leaves out who starts, leaves or fell silent', async () => {
       ownState = 'leaving';
       members.hear(describeHost('a', { state: 'starting' }));
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -11,6 +11,7 @@
   RequestKind,
 } from '../../GatewayConfiguration.js';
 import GatewayState from '../../GatewayState.js';
+import IdleReuse from '../../IdleReuse.js';
 import OutstandingCalls from '../../OutstandingCalls.js';
 import type { CallerCall, CallerOutcome } from '../../CallerCall.js';
 import RequestProxy from '../../RequestProxy.js';
@@ -39,7 +40,8 @@
   full: { kind: 'not-run', reason: 'full' },
   other: { kind: 'not-run', reason: 'other-target' },
   unreached: { kind: 'not-sent', detail: 'no connection', isRefused: false },
-  broken: { kind: 'broken', detail: 'reset', isReused: false },
+  broken: { kind: 'broken', detail: 'reset' },
+  dropped: { kind: 'dropped', detail: 'reset' },
   timeout: { kind: 'timeout' },
 } as const satisfies Record<string, CallResult>;
 
@@ -123,6 +125,7 @@
       targets: table,
       outstanding,
       failures,
+      idleReuse: new IdleReuse(clock),
       allowances,
       directory,
       link,
@@ -200,6 +203,8 @@
     ['non-idempotent', ['failed', 'good'], '500', 1],
     ['non-idempotent', ['broken', 'good'], 'connection-broke', 1],
     ['non-idempotent', ['timeout', 'good'], 'timeout', 1],
+    ['non-idempotent', ['dropped', 'good'], 'connection-broke', 1],
+    ['idempotent', ['dropped', 'good'], '200', 2],
     ['non-idempotent', ['unsigned', 'good'], 'unsigned-answer', 1],
     ['non-idempotent', ['full', 'good'], '200', 2],
     ['non-idempotent', ['other', 'good'], '200', 2],
@@ -268,6 +273,24 @@
     });
   });
 
+  describe('a connection that a target had dropped', () => {
+    it('has the request repeated on a new one, and holds nothing back', async () => {
+      answerInTurn('dropped', 'good', 'dropped', 'good', 'dropped', 'good');
+      const outcomes = [await proxy.handle(createCall('idempotent'))];
+      outcomes.push(await proxy.handle(createCall('idempotent')));
+      outcomes.push(await proxy.handle(createCall('idempotent')));
+      expect(outcomes.map(describeOutcome)).toEqual(['200', '200', '200']);
+      expect(sent.map(({ needsNewConnection }) => needsNewConnection)).toEqual([
+        false,
+        true,
+        false,
+        true,
+        false,
+        true,
+      ]);
+    });
+  });
+
   describe('a caller that leaves while no connection comes about', () => {
     it('has its request sent nowhere else', async () => {
       const caller = new AbortController();
--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -1,7 +1,8 @@
 import type { Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
-import { Counters, systemClock } from '@cactusrun/core';
+import { Counters, ManualClock, systemClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import IdleReuse, { HOT_MILLISECONDS } from '../../IdleReuse.js';
 import type { CallResult, OutgoingRequest } from '../../TargetCall.js';
 import TargetConnections from '../../TargetConnections.js';
 import type { TargetEntry } from '../../TargetEntry.js';
@@ -25,6 +26,7 @@
 describe('TargetConnections', () => {
   let server: Server;
   let connections: TargetConnections;
+  let idleReuse: IdleReuse;
   let sockets: Socket[];
   let requests: string[];
   let script: Script;
@@ -33,7 +35,8 @@
   beforeEach(async () => {
     sockets = [];
     requests = [];
-    connections = new TargetConnections(NAMES, systemClock, new Counters());
+    idleReuse = new IdleReuse(systemClock);
+    connections = new TargetConnections(NAMES, idleReuse, systemClock, new Counters());
     server = createServer((socket) => {
       sockets.push(socket);
       socket.on('error', () => {});
@@ -82,6 +85,7 @@
       body: Buffer.from('body'),
       kind: 'once',
       isRepeated: false,
+      needsNewConnection: false,
       deadline: systemClock.now() + 5_000,
       ...change,
     };
@@ -178,6 +182,46 @@
     });
   });
 
+  describe('a connection that the target dropped while it was idle', () => {
+    let clock: ManualClock;
+
+    beforeEach(() => {
+      clock = new ManualClock();
+      idleReuse = new IdleReuse(clock);
+      connections = new TargetConnections(NAMES, idleReuse, clock, new Counters());
+    });
+
+    /** Answers on new connections, and resets those that carry a second request. */
+    function answerOnce(): Script {
+      const used = new Set<Socket>();
+      return (socket, attempt) => {
+        if (used.has(socket)) {
+          socket.resetAndDestroy();
+          return;
+        }
+        used.add(socket);
+        socket.write(`${head(attempt, 2)}ok`);
+      };
+    }
+
+    it('is told apart from one that breaks at work', async () => {
+      script = answerOnce();
+      await send();
+      clock.pause(HOT_MILLISECONDS + 50);
+      expect((await send()).kind).toBe('dropped');
+      await send();
+      expect((await send()).kind).toBe('broken');
+    });
+
+    it('is not reused for long once that is known', async () => {
+      script = answerOnce();
+      idleReuse.noteDrop('target-1');
+      await send();
+      clock.pause(HOT_MILLISECONDS + 50);
+      expect((await send()).kind).toBe('answered');
+    });
+  });
+
   describe('requests that were not run', () => {
     it('knows a target that is full', async () => {
       script = (socket) =>
@@ -200,6 +244,7 @@
         body: Buffer.alloc(0),
         kind: 'once',
         isRepeated: false,
+        needsNewConnection: false,
         deadline: systemClock.now() + 1_000,
       };
       const result = await connections.send(target, request, new AbortController().signal);
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -62,7 +62,7 @@
 
 function buildLinks(options: GatewayOptions, daemon: LocalDaemon, knowledge: Knowledge): Links {
   const { name, clock, counters, logger, random } = options;
-  const { members, state, targets, outstanding, failures, allowances } = knowledge;
+  const { members, state, targets, outstanding, failures, idleReuse, allowances } = knowledge;
   // Messages arrive only after the link is started, when the handlers are there.
   let handlers: PeerHandlers | undefined;
   const link = new PeerLink(options.peerAddress, counters, logger, (message, from) => {
@@ -78,6 +78,7 @@
     targets,
     outstanding,
     failures,
+    idleReuse,
     allowances,
     directory,
     link,
