Try sick targets only below the floor; spread the first reads of a fleet that starts

Change: one share to cover, 0.7; trouble counts from a tenth of ten outcomes on. Failed calls log why their target was due. When the settings say that the whole system starts for the first time, a daemon's first read waits for up to 1.5 s, within which most learn from a peer; a restarted one reads at once.

--- a/packages/gateway/src/FailureShares.ts
+++ b/packages/gateway/src/FailureShares.ts
@@ -4,7 +4,7 @@
 /** Time after which an outcome counts for a fraction of 1/e. */
 const FADE_MILLISECONDS = 2_000;
 /** Fewer outcomes than this say nothing. */
-const FEWEST_OUTCOMES = 4;
+const FEWEST_OUTCOMES = 10;
 
 interface Fading {
   readonly total: number;
--- a/packages/gateway/src/GatewayOptions.ts
+++ b/packages/gateway/src/GatewayOptions.ts
@@ -22,6 +22,8 @@
   readonly callerAddress: string;
   readonly peerAddress: string;
   readonly seeds: readonly string[];
+  /** Whether the whole fleet starts now, rather than this daemon alone. */
+  readonly isFleetStart: boolean;
   /** From 0 to 1: that of a host which is large enough to serve callers. */
   readonly capacity: number;
   readonly retryBudget: RetryBudgetTerms;
--- a/packages/gateway/src/RequestJourney.ts
+++ b/packages/gateway/src/RequestJourney.ts
@@ -240,7 +240,7 @@
 
   private logFailure(run: TargetRun, result: CallResult): void {
     const { counters, logger } = this.parts;
-    const { target, failureProbability, requestsThere, expectedMilliseconds } = run.pick;
+    const { target, failureProbability, requestsThere, expectedMilliseconds, due } = run.pick;
     counters.add('call_failures', result.kind);
     logger.info('call-failed', {
       request: this.plan.call.id,
@@ -252,6 +252,7 @@
       failureProbability: Math.round(failureProbability * 100) / 100,
       requestsThere: Math.round(requestsThere),
       expectedMilliseconds: Math.round(expectedMilliseconds),
+      due,
       targetSeenMilliseconds: Math.round(this.parts.clock.now() - target.belief.seenAt),
     });
   }
--- a/packages/gateway/src/StateFollower.ts
+++ b/packages/gateway/src/StateFollower.ts
@@ -37,6 +37,9 @@
 /** Time for peers to hand over a newer configuration, after which the store is read. */
 const BEHIND_MILLISECONDS = 400;
 
+/** Time over which the first reads are spread when the whole fleet starts. */
+const FIRST_READ_MILLISECONDS = 1_500;
+
 export interface StateFollowerParts {
   readonly store: GatewayStore;
   readonly state: GatewayState;
@@ -47,6 +50,8 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly selfName: string;
+  /** Whether the whole fleet starts now: the first reads are spread, most learn from peers. */
+  readonly isFleetStart: boolean;
 }
 
 export default class StateFollower {
@@ -64,10 +69,15 @@
 
   private isStoreLost = false;
 
+  /** Monotonic time until which the first read waits for what peers tell. */
+  private firstReadAt = 0;
+
   constructor(private readonly parts: StateFollowerParts) {}
 
   public start(): Stop {
-    const { logger } = this.parts;
+    const { logger, clock, random, isFleetStart } = this.parts;
+    const spread = isFleetStart ? FIRST_READ_MILLISECONDS : 0;
+    this.firstReadAt = clock.now() + spread * random.unit();
     const fail = (error: unknown) => logger.warn('follower-ended', { cause: describeError(error) });
     return mergeStops([
       startTask((signal) => repeatUntilAborted(signal, () => this.followTargets(signal)), fail),
@@ -129,8 +139,9 @@
   /** Whether this daemon reads the store: for all as the first, or as nothing is heard of it. */
   private get isReader(): boolean {
     const { members, state, clock } = this.parts;
+    if (!state.isComplete) return clock.now() >= this.firstReadAt;
     const rank = members.rank();
-    if (!state.isComplete || rank === 0) return true;
+    if (rank === 0) return true;
     const patience = STALE_MILLISECONDS + Math.min(rank, LARGEST_RANK) * RANK_MILLISECONDS;
     return clock.now() - this.heardAt > patience;
   }
--- a/packages/gateway/src/TargetCoverage.ts
+++ b/packages/gateway/src/TargetCoverage.ts
@@ -16,10 +16,9 @@
 /** Chance of sickness up to which an idle target is due: that of one of which nothing is known. */
 const LIKELY_WELL = 0.32;
 /** Share of failures from which on a service must not live on few targets: the tolerated tenth. */
-const TROUBLED_SHARE = 0.09;
-/** Share of the targets of a region that gets requests: the floor, and more while much fails. */
+const TROUBLED_SHARE = 0.1;
+/** Share of the targets of a region that gets requests: the floor. */
 const COVERED_SHARE = 0.7;
-const COVERED_SHARE_TROUBLED = 0.8;
 
 /** Why a target should get the next request. */
 export type DueReason = 'idle' | 'floor';
@@ -41,9 +40,8 @@
     const now = this.clock.now();
     const sound = targets.filter(({ belief }) => now - belief.failedAt > FAILED_MILLISECONDS);
     const idle = sound.filter(({ usedAt }) => now - usedAt > IDLE_MILLISECONDS);
+    if (sound.length - idle.length >= sound.length * COVERED_SHARE) return NOTHING_DUE;
     const isTroubled = this.failures.of(service) >= TROUBLED_SHARE;
-    const covered = isTroubled ? COVERED_SHARE_TROUBLED : COVERED_SHARE;
-    if (sound.length - idle.length >= sound.length * covered) return NOTHING_DUE;
     return new Map(
       idle.flatMap(({ entry, belief }): [string, DueReason][] => {
         if (belief.probabilityAt(now) < LIKELY_WELL) return [[entry.id, 'idle']];
--- a/packages/gateway/src/__tests__/unit/StateFollower.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateFollower.test.ts
@@ -103,17 +103,8 @@
   let stop: Stop;
   let fetchState: (address: string) => Promise<StateCopy>;
 
-  beforeEach(() => {
-    clock = new ManualClock();
-    store = new MemoryStore();
-    store.log.push({ kind: 'present', entry: createEntry('t') });
-    sent = [];
-    const self = () => describeHost('m');
-    members = new FleetMembers(self, clock, silentLogger, () => {});
-    table = new TargetTable(clock, DEFAULT_SICKNESS_RATES);
-    state = new GatewayState(decode, table, clock, silentLogger, () => {});
-    fetchState = () => new Promise(() => {});
-    follower = new StateFollower({
+  function createFollower(isFleetStart: boolean): StateFollower {
+    return new StateFollower({
       store,
       state,
       members,
@@ -128,7 +119,21 @@
       random: createRandom(1),
       logger: silentLogger,
       selfName: 'm',
+      isFleetStart,
     });
+  }
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    store = new MemoryStore();
+    store.log.push({ kind: 'present', entry: createEntry('t') });
+    sent = [];
+    const self = () => describeHost('m');
+    members = new FleetMembers(self, clock, silentLogger, () => {});
+    table = new TargetTable(clock, DEFAULT_SICKNESS_RATES);
+    state = new GatewayState(decode, table, clock, silentLogger, () => {});
+    fetchState = () => new Promise(() => {});
+    follower = createFollower(false);
     stop = follower.start();
   });
 
@@ -166,6 +171,34 @@
     });
   });
 
+  describe('one of a fleet that starts as a whole', () => {
+    beforeEach(async () => {
+      await stop();
+      store.calls = 0;
+      state = new GatewayState(decode, table, clock, silentLogger, () => {});
+      follower = createFollower(true);
+      stop = follower.start();
+    });
+
+    it('does not call the store when a peer tells soon', async () => {
+      fetchState = async () => ({
+        document: store.document,
+        targets: [createEntry('t')],
+        versions: { configuration: 1, targets: 1, ageMilliseconds: 0 },
+        peers: [],
+      });
+      hearNews('a', 1, 1);
+      await advanceWithNews(1_500);
+      expect(state.isComplete).toBe(true);
+      expect(store.calls).toBe(0);
+    });
+
+    it('reads by itself when nobody tells', async () => {
+      await clock.advance(1_600);
+      expect(state.isComplete).toBe(true);
+    });
+  });
+
   describe('another one', () => {
     it('does not call the store while news come', async () => {
       await clock.advance(100);
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -96,6 +96,7 @@
     random,
     logger,
     selfName: name,
+    isFleetStart: options.isFleetStart,
   });
   const parts = { name, daemon, knowledge, link, calls, crashes, follower, random };
   handlers = createPeerHandlers(parts);
