--- a/packages/stand-ins/src/StandInLink.ts
+++ b/packages/stand-ins/src/StandInLink.ts
@@ -61,6 +61,16 @@
       });
   }
 
+  /** From now on nothing passes in these directions. */
+  public silence(directions: readonly LinkDirection[]): void {
+    this.faults.silentDirections = directions;
+  }
+
+  /** From now on new connections are refused, or taken again. */
+  public cut(isCut: boolean): void {
+    this.faults.isCut = isCut;
+  }
+
   /** Every connection open now falls silent for good; new ones work. */
   public muteOpenConnections(): void {
     this.sockets.forEach((socket) => this.muted.add(socket));
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   test: {
-    include: ['{packages/*,platform}/src/__tests__/{unit,golden}/**/*.test.ts'],
+    include: ['{packages/*,platform}/src/__tests__/{unit,golden,soak}/**/*.test.ts'],
     server: { deps: { inline: [/clipanion/] } },
     reporters: ['default', './tools/countReporter.mjs'],
     testTimeout: 30_000,
