Split connections to targets: idle ones, exchange, what an answer's head says

Change: IdleConnections keeps what carries no request, readTargetAnswer reads heads of answers; the exchange stays.

--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/TargetConnections.ts
@@ -1,53 +1,43 @@
-/**
- * Connections to targets and the exchange of one request on one of them. A connection carries one
- * request at a time. Bytes that arrive on an idle one belong to no request and end it.
- */
+/** Connections to targets and the exchange of one request on one of them, one request at a time. */
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { request as httpRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 import { PassThrough } from 'node:stream';
 import type { Clock, Counters } from '@cactusrun/core';
-import { endToEndHeaders, listHeaders } from '@cactusrun/requests';
+import type { IdleConnection } from './IdleConnections.js';
+import IdleConnections from './IdleConnections.js';
 import type IdleReuse from './IdleReuse.js';
 import { HOT_MILLISECONDS } from './IdleReuse.js';
-import type { CallResult, OutgoingRequest, TargetAnswer, TargetFieldNames } from './TargetCall.js';
+import {
+  isOfAnotherRequest,
+  readIdleTime,
+  readRefusal,
+  readTargetAnswer,
+} from './readTargetAnswer.js';
+import type { CallResult, OutgoingRequest, TargetFieldNames } from './TargetCall.js';
 import type { TargetEntry } from './TargetEntry.js';
 
 /** Longest wait for a connection: some round trips, less than it takes to repeat a lost packet. */
 const CONNECT_MILLISECONDS = 150;
-/** An idle connection is left this long before the target says that it will close it. */
-const IDLE_MARGIN_MILLISECONDS = 2_000;
-/** Idle time assumed of targets that do not state one. */
-const IDLE_MILLISECONDS = 4_000;
 /** A request that must run once goes on a connection that was used this recently, or a new one. */
 const FRESH_IDLE_MILLISECONDS = 6_000;
 /** Answers up to this size are read whole before the caller gets any of it. */
 const WHOLE_ANSWER_BYTES = 1_048_576;
 /** A write on a dropped connection is reset after a round trip; later the target had begun. */
 const DROP_MILLISECONDS = 100;
-const MISDIRECTED_STATUS = 421;
-const BODILESS_STATUSES: readonly number[] = [204, 304];
-const SECOND_MILLISECONDS = 1_000;
-
-interface IdleConnection {
-  readonly socket: Socket;
-  readonly idleSince: number;
-  readonly idleMilliseconds: number;
-  readonly onUnexpected: () => void;
-}
 
 export default class TargetConnections {
-  private readonly idle = new Map<string, IdleConnection[]>();
-
-  private isClosed = false;
+  private readonly idle: IdleConnections;
 
   constructor(
     private readonly names: TargetFieldNames,
     private readonly idleReuse: IdleReuse,
     private readonly clock: Clock,
     private readonly counters: Counters,
-  ) {}
+  ) {
+    this.idle = new IdleConnections(clock);
+  }
 
   /** Sends a request once. Never rejects, and never sends a second time by itself. */
   public async send(
@@ -72,61 +62,18 @@
 
   /** Closes the connections of a target that is gone. */
   public forget(target: string): void {
-    this.idle.get(target)?.forEach(({ socket }) => socket.destroy());
-    this.idle.delete(target);
+    this.idle.forget(target);
   }
 
   public close(): void {
-    this.isClosed = true;
-    [...this.idle.keys()].forEach((target) => this.forget(target));
+    this.idle.close();
   }
 
   private takeIdle(target: string, request: OutgoingRequest): IdleConnection | undefined {
     if (request.needsNewConnection) return undefined;
-    const now = this.clock.now();
-    const list = this.idle.get(target) ?? [];
     const longest = this.idleReuse.longestIdle(target);
-    const isFresh = ({ idleSince, idleMilliseconds }: IdleConnection) =>
-      now - idleSince <
-      Math.min(
-        idleMilliseconds,
-        longest,
-        request.kind === 'once' ? FRESH_IDLE_MILLISECONDS : idleMilliseconds,
-      );
-    list
-      .filter((connection) => now - connection.idleSince >= connection.idleMilliseconds)
-      .forEach(({ socket }) => socket.destroy());
-    const index = list.findLastIndex((connection) => isFresh(connection));
-    const taken = index < 0 ? undefined : list.splice(index, 1)[0];
-    if (taken === undefined) return undefined;
-    ['data', 'end', 'error', 'close'].forEach((event) => {
-      taken.socket.removeListener(event, taken.onUnexpected);
-    });
-    return taken.socket.destroyed ? undefined : taken;
-  }
-
-  private keep(target: string, socket: Socket, idleMilliseconds: number): void {
-    if (this.isClosed || socket.destroyed || !socket.writable) {
-      socket.destroy();
-      return;
-    }
-    const list = this.idle.get(target) ?? [];
-    this.idle.set(target, list);
-    const connection: IdleConnection = {
-      socket,
-      idleSince: this.clock.now(),
-      idleMilliseconds,
-      onUnexpected: () => {
-        const index = list.indexOf(connection);
-        if (index >= 0) list.splice(index, 1);
-        socket.destroy();
-      },
-    };
-    ['data', 'end', 'error', 'close'].forEach((event) => {
-      socket.on(event, connection.onUnexpected);
-    });
-    socket.resume();
-    list.push(connection);
+    const isOnce = request.kind === 'once';
+    return this.idle.take(target, isOnce ? Math.min(longest, FRESH_IDLE_MILLISECONDS) : longest);
   }
 
   private open(
@@ -207,7 +154,7 @@
       client.on('response', (response) => {
         hasAnswered = true;
         this.read(response, request, settle, breakOff);
-        socket.once('free', () => this.keep(target.id, socket, idleTimeOf(response)));
+        socket.once('free', () => this.idle.keep(target.id, socket, readIdleTime(response)));
       });
     });
   }
@@ -242,11 +189,8 @@
     settle: (result: CallResult) => void,
     breakOff: (detail: string) => void,
   ): void {
-    const status = response.statusCode ?? 0;
-    const answered = response.headers[this.names.attemptId.toLowerCase()];
-    const refusal = this.refusalOf(response);
-    const isOther = answered !== undefined ? answered !== request.id : isSuccess(status);
-    if (isOther && refusal === undefined) {
+    const refusal = readRefusal(response, this.names);
+    if (refusal === undefined && isOfAnotherRequest(response, this.names, request.id)) {
       this.counters.add('target_answers', 'of-another-request');
       breakOff('answer of another request');
       return;
@@ -254,9 +198,12 @@
     const parts: Buffer[] = [];
     let size = 0;
     const finish = (rest?: PassThrough) => {
-      if (refusal !== undefined) settle(refusal);
-      else
-        settle({ kind: 'answered', answer: this.describe(response, Buffer.concat(parts), rest) });
+      if (refusal !== undefined) {
+        settle(refusal);
+        return;
+      }
+      const answer = readTargetAnswer(response, this.names, Buffer.concat(parts), rest);
+      settle({ kind: 'answered', answer });
     };
     const onData = (part: Buffer) => {
       parts.push(part);
@@ -272,56 +219,4 @@
     response.on('error', (error) => breakOff(error.message));
     response.on('end', () => (response.complete ? finish() : breakOff('answer cut short')));
   }
-
-  private refusalOf(
-    response: IncomingMessage,
-  ): Extract<CallResult, { kind: 'not-run' }> | undefined {
-    if (response.statusCode === MISDIRECTED_STATUS) {
-      return { kind: 'not-run', reason: 'other-target' };
-    }
-    if (response.headers[this.names.notRun.toLowerCase()] === undefined) return undefined;
-    return { kind: 'not-run', reason: response.statusCode === 503 ? 'full' : 'refused' };
-  }
-
-  private describe(
-    response: IncomingMessage,
-    head: Buffer,
-    rest: PassThrough | undefined,
-  ): TargetAnswer {
-    const load = response.headers[this.names.load.toLowerCase()];
-    const [running, waiting] = typeof load === 'string' ? load.split(',').map(Number) : [];
-    const requestsThere =
-      running !== undefined && waiting !== undefined && Number.isFinite(running + waiting)
-        ? running + waiting
-        : undefined;
-    return {
-      status: response.statusCode ?? 0,
-      fields: endToEndHeaders(listHeaders(response.rawHeaders), isFraming),
-      head,
-      rest,
-      requestsThere,
-      isFramed:
-        response.headers['content-length'] !== undefined ||
-        response.headers['transfer-encoding'] !== undefined ||
-        BODILESS_STATUSES.includes(response.statusCode ?? 0),
-      isSigned: response.headers[this.names.signature.toLowerCase()] !== undefined,
-    };
-  }
-}
-
-/** The length is set anew towards the caller. */
-function isFraming(name: string): boolean {
-  return name === 'content-length';
-}
-
-function isSuccess(status: number): boolean {
-  return status >= 200 && status < 300;
-}
-
-/** How long a connection may stay idle after the answer. */
-function idleTimeOf(response: IncomingMessage): number {
-  const stated = /timeout=(\d+)/.exec(String(response.headers['keep-alive'] ?? ''))?.[1];
-  if (stated === undefined) return IDLE_MILLISECONDS;
-  const milliseconds = Number(stated) * SECOND_MILLISECONDS;
-  return Math.max(milliseconds / 2, milliseconds - IDLE_MARGIN_MILLISECONDS);
 }
