--- a/packages/gateway/src/PeerStateServer.ts
+++ b/packages/gateway/src/PeerStateServer.ts
@@ -1,14 +1,47 @@
-/** The whole state of a daemon, for peers that lack it. */
-import type { Server } from 'node:http';
+/** The whole state of a daemon, compressed, for peers that lack it. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer, get } from 'node:http';
-import type { Stop } from '@cactusrun/core';
-import { CactusrunError } from '@cactusrun/core';
+import { promisify } from 'node:util';
+import { constants, gunzip, gzip } from 'node:zlib';
+import type { Clock, Counters, Stop } from '@cactusrun/core';
+import { CactusrunError, describeError } from '@cactusrun/core';
 import type { StateCopy } from './GatewayState.js';
 
+const compress = promisify(gzip);
+const decompress = promisify(gunzip);
+
 const STATE_PATH = '/state';
 /** Longest wait for a peer's state: some round trips between regions and a large configuration. */
 const FETCH_MILLISECONDS = 1_000;
+/** Peers that ask within this time get the same bytes: news reach them all at once. */
+const SAME_COPY_MILLISECONDS = 50;
 const OK_STATUS = 200;
+const NOT_FOUND_STATUS = 404;
+
+/** Compresses the state once for all peers that ask at about the same time. */
+class StateBytes {
+  private bytes: Promise<Buffer> | undefined;
+
+  private copiedAt = Number.NEGATIVE_INFINITY;
+
+  private versions = '';
+
+  constructor(
+    private readonly copyState: () => StateCopy,
+    private readonly clock: Clock,
+  ) {}
+
+  public async read(): Promise<Buffer> {
+    const copy = this.copyState();
+    const versions = `${copy.versions.configuration}/${copy.versions.targets}`;
+    const isRecent = this.clock.now() - this.copiedAt < SAME_COPY_MILLISECONDS;
+    if (this.bytes !== undefined && isRecent && versions === this.versions) return this.bytes;
+    this.versions = versions;
+    this.copiedAt = this.clock.now();
+    this.bytes = compress(JSON.stringify(copy), { level: constants.Z_BEST_SPEED });
+    return this.bytes;
+  }
+}
 
 /**
  * Serves the state until the returned function is called.
@@ -16,10 +49,21 @@
  * @param address - `ip:port` to listen on
  * @throws CactusrunError when the address cannot be bound
  */
-export async function servePeerState(address: string, copyState: () => StateCopy): Promise<Stop> {
+export async function servePeerState(
+  address: string,
+  copyState: () => StateCopy,
+  clock: Clock,
+  counters: Counters,
+): Promise<Stop> {
+  const state = new StateBytes(copyState, clock);
+  const answer = async (response: ServerResponse) => {
+    const bytes = await state.read();
+    counters.add('state_copies', 'served');
+    response.writeHead(OK_STATUS, { 'content-length': bytes.length }).end(bytes);
+  };
   const server = createServer((request, response) => {
-    if (request.url === STATE_PATH) response.end(JSON.stringify(copyState()));
-    else response.writeHead(404).end();
+    if (request.url === STATE_PATH) answer(response).catch(() => response.destroy());
+    else response.writeHead(NOT_FOUND_STATUS).end();
   });
   await listen(server, address);
   return async () => {
@@ -44,26 +88,34 @@
  *
  * @throws CactusrunError when the peer does not answer in time or not with a state
  */
-export function fetchPeerState(address: string, signal: AbortSignal): Promise<StateCopy> {
-  const place = { step: 'fetching state', peer: address };
+export async function fetchPeerState(address: string, signal: AbortSignal): Promise<StateCopy> {
+  try {
+    const bytes = await fetchBytes(address, signal);
+    return JSON.parse((await decompress(bytes)).toString('utf8')) as StateCopy;
+  } catch (error) {
+    throw new CactusrunError(
+      describeError(error),
+      { step: 'fetching state', peer: address },
+      error,
+    );
+  }
+}
+
+function fetchBytes(address: string, signal: AbortSignal): Promise<Buffer> {
+  const limit = AbortSignal.any([signal, AbortSignal.timeout(FETCH_MILLISECONDS)]);
   return new Promise((resolve, reject) => {
-    const fail = (error: Error) => reject(new CactusrunError(error.message, place, error));
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(FETCH_MILLISECONDS)]);
-    get(`http://${address}${STATE_PATH}`, { agent: false, signal: limit }, (response) => {
+    const receive = (response: IncomingMessage) => {
       const parts: Buffer[] = [];
       response.on('data', (part: Buffer) => parts.push(part));
-      response.on('error', fail);
+      response.on('error', reject);
       response.on('end', () => {
-        if (response.statusCode !== OK_STATUS) {
-          fail(new Error(`status ${response.statusCode}`));
-          return;
-        }
-        try {
-          resolve(JSON.parse(Buffer.concat(parts).toString('utf8')) as StateCopy);
-        } catch (error) {
-          fail(error as Error);
-        }
+        if (response.statusCode === OK_STATUS) resolve(Buffer.concat(parts));
+        else reject(new Error(`status ${response.statusCode}`));
       });
-    }).on('error', fail);
+    };
+    get(`http://${address}${STATE_PATH}`, { agent: false, signal: limit }, receive).on(
+      'error',
+      reject,
+    );
   });
 }
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wireGateway.ts
@@ -111,9 +111,8 @@
 ): Promise<Stop> {
   const { name, peerAddress, store, clock, logger, random } = options;
   const { members, state } = knowledge;
-  const stopPeerState = await servePeerState(peerAddress, () =>
-    state.copy([...members.known(), ...members.liveAndSelf()]),
-  );
+  const copyState = () => state.copy([...members.known(), ...members.liveAndSelf()]);
+  const stopPeerState = await servePeerState(peerAddress, copyState, clock, options.counters);
   const stopLink = await link.start();
   const stopHeartbeat = startHeartbeat({
     name,
