--- a/packages/command-line/src/RunScriptCommand.ts
+++ b/packages/command-line/src/RunScriptCommand.ts
@@ -1,4 +1,4 @@
-/** The one command of the operators' tool. */
+/** The command that runs scripts of the operators' language. */
 import { randomUUID } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
 import { hostname, userInfo } from 'node:os';
--- a/packages/command-line/src/cactusrun.ts
+++ b/packages/command-line/src/cactusrun.ts
@@ -1,6 +1,7 @@
 /** The operators' tool. */
 import process from 'node:process';
 import { Builtins, Cli } from 'clipanion';
+import ExplainCommand from './ExplainCommand.js';
 import RunScriptCommand from './RunScriptCommand.js';
 
 const cli = new Cli({
@@ -9,6 +10,7 @@
   binaryLabel: 'cactusrun',
   binaryVersion: '0.1.0',
 });
+cli.register(ExplainCommand);
 cli.register(RunScriptCommand);
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
--- /dev/null
+++ b/packages/command-line/src/explain/LogEntry.ts
@@ -0,0 +1,25 @@
+/** One line of a daemon's log. */
+
+type LogFields = Record<string, unknown>;
+
+export interface LogEntry {
+  /** Milliseconds since the epoch. */
+  readonly time: number;
+  readonly event: string;
+  readonly host: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Reads one line; undefined when it is none of a daemon. What stands before its JSON is left out. */
+export function parseLogEntry(line: string): LogEntry | undefined {
+  const start = line.indexOf('{');
+  if (start < 0) return undefined;
+  try {
+    const { time, event, host, ...fields } = JSON.parse(line.slice(start)) as LogFields;
+    const at = Date.parse(String(time));
+    if (Number.isNaN(at) || typeof event !== 'string' || typeof host !== 'string') return undefined;
+    return { time: at, event, host, fields };
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -1,7 +1,12 @@
+export { default as explainRequest } from './explain/explainRequest.js';
+export { default as ExplainCommand } from './ExplainCommand.js';
+export { parseLogEntry } from './explain/LogEntry.js';
 export { default as OperatorClient } from './OperatorClient.js';
 export { default as OperatorClientError } from './OperatorClientError.js';
 export { renderRows } from './renderRows.js';
 export { default as RunScriptCommand } from './RunScriptCommand.js';
 export { default as ScriptRunner, EXIT } from './ScriptRunner.js';
+export type { Explanation } from './explain/explainRequest.js';
+export type { LogEntry } from './explain/LogEntry.js';
 export type { ChangeOrder, ChangeReply, Row } from './OperatorClient.js';
 export type { RunOptions, ScriptRunnerOptions } from './ScriptRunner.js';
