Take the floor's share from the settings

Cause: found in reading: the share of targets that must stay at work was a constant, while the settings state it; a deployment with a higher floor would have been left below it.

--- a/packages/gateway/src/GatewayOptions.ts
+++ b/packages/gateway/src/GatewayOptions.ts
@@ -27,6 +27,8 @@
   /** From 0 to 1: that of a host which is large enough to serve callers. */
   readonly capacity: number;
   readonly retryBudget: RetryBudgetTerms;
+  /** Share of a service's sound targets that must stay at work, from 0 to 1. */
+  readonly floorShare: number;
   readonly stopTimes: StopTimes;
   readonly targetFields: TargetFieldNames;
   readonly callerFields: CallerFieldNames;
--- a/packages/gateway/src/GatewayParts.ts
+++ b/packages/gateway/src/GatewayParts.ts
@@ -81,7 +81,7 @@
     targets: knowledge.targets,
     outstanding: knowledge.outstanding,
     times: knowledge.times,
-    coverage: new TargetCoverage(clock, knowledge.failures),
+    coverage: new TargetCoverage(clock, knowledge.failures, options.floorShare),
     clock,
     random,
   });
--- a/packages/gateway/src/TargetCoverage.ts
+++ b/packages/gateway/src/TargetCoverage.ts
@@ -17,8 +17,6 @@
 const LIKELY_WELL = 0.32;
 /** Share of failures from which on a service must not live on few targets: the tolerated tenth. */
 const TROUBLED_SHARE = 0.1;
-/** Share of the targets of a region that gets requests: the floor. */
-const COVERED_SHARE = 0.7;
 
 /** Why a target should get the next request. */
 export type DueReason = 'idle' | 'floor';
@@ -29,6 +27,8 @@
   constructor(
     private readonly clock: Clock,
     private readonly failures: FailureShares,
+    /** Share of the targets of a region that gets requests. */
+    private readonly floorShare: number,
   ) {}
 
   /**
@@ -40,7 +40,7 @@
     const now = this.clock.now();
     const sound = targets.filter(({ belief }) => now - belief.failedAt > FAILED_MILLISECONDS);
     const idle = sound.filter(({ usedAt }) => now - usedAt > IDLE_MILLISECONDS);
-    if (sound.length - idle.length >= sound.length * COVERED_SHARE) return NOTHING_DUE;
+    if (sound.length - idle.length >= sound.length * this.floorShare) return NOTHING_DUE;
     const isTroubled = this.failures.of(service) >= TROUBLED_SHARE;
     return new Map(
       idle.flatMap(({ entry, belief }): [string, DueReason][] => {
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -139,7 +139,7 @@
       targets: table,
       outstanding,
       times,
-      coverage: new TargetCoverage(clock, failures),
+      coverage: new TargetCoverage(clock, failures, 0.7),
       clock,
       random,
     });
--- a/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
@@ -47,20 +47,22 @@
     table = new TargetTable(clock, DEFAULT_SICKNESS_RATES);
     outstanding = new OutstandingCalls();
     times = new ServiceTimes();
-    const place = { zone: 'near', region: 'west' };
-    const regionOf = (zone: string) => REGIONS[zone];
     failures = new FailureShares(clock);
-    picker = new TargetPicker({
-      place,
-      regionOf,
+    picker = createPicker(0.7);
+  });
+
+  function createPicker(floorShare: number): TargetPicker {
+    return new TargetPicker({
+      place: { zone: 'near', region: 'west' },
+      regionOf: (zone) => REGIONS[zone],
       targets: table,
       outstanding,
       times,
-      coverage: new TargetCoverage(clock, failures),
+      coverage: new TargetCoverage(clock, failures, floorShare),
       clock,
       random: createRandom(1),
     });
-  });
+  }
 
   function addTargets(...entries: readonly TargetEntry[]): void {
     table.apply(entries.map((entry) => ({ kind: 'present', entry })));
@@ -137,6 +139,13 @@
       expect(used.length).toBeGreaterThanOrEqual(ids.length * 0.7);
     });
 
+    it('uses all of them where the floor says so', () => {
+      picker = createPicker(1);
+      addTargets(...ids.map((id) => createEntry(id)));
+      ['a', 'b', 'c', 'd'].forEach((id) => observe(id, true));
+      expect(playLightLoad(20, () => false)).toHaveLength(ids.length);
+    });
+
     it('leaves a sick target alone while little fails', () => {
       addTargets(...ids.map((id) => createEntry(id)));
       observe('a', true, true);
