Take a held read of the configuration for lost after 1.5 s

With logs: no daemon of ecape took version 88, acknowledged at 28.06 s, before 91 came at 32 s, while the reader's reads of the registry went on. The held read of its reader was never answered; it was given up after 9.5 s only, and nobody else reads while news of the registry arrive.

Change: the configuration's read is held for 0.9 s and given up 0.6 s later; the next one is not held, and has the usual time limit, so that a slow store is still read. The test failed first.

--- a/packages/gateway/src/StateFollower.ts
+++ b/packages/gateway/src/StateFollower.ts
@@ -24,8 +24,10 @@
 /** Pause after a failed call, doubled up to the largest. */
 const FAILURE_MILLISECONDS = 400;
 const LARGEST_FAILURE_MILLISECONDS = 2_000;
-/** Longest time that the store holds a read of the configuration. */
-const CONFIGURATION_WAIT_MILLISECONDS = 8_000;
+/** Longest time that the store holds a read of the configuration: its answer may be lost. */
+const CONFIGURATION_WAIT_MILLISECONDS = 900;
+/** Time after which an answer that is not there is taken for lost: far hosts and a slow store. */
+const LOST_ANSWER_MILLISECONDS = 600;
 /** Time for entries that lapsed while the store was away to come back. */
 const RETURN_MILLISECONDS = 2_000;
 /** News this old were not only late: the store was away, and removals may be lapsed entries. */
@@ -69,6 +71,9 @@
 
   private isStoreLost = false;
 
+  /** The answer to the last held read did not come: the next one is answered at once. */
+  private isAnswerLost = false;
+
   /** Monotonic time until which the first read waits for what peers tell. */
   private firstReadAt = 0;
 
@@ -219,19 +224,29 @@
       await clock.sleep(TICK_MILLISECONDS, signal);
       return;
     }
+    const isHeld = this.configurationPosition !== undefined && !this.isAnswerLost;
+    const wait = isHeld ? CONFIGURATION_WAIT_MILLISECONDS : 0;
+    const limit = new AbortController();
+    const cancel = clock.after(wait + LOST_ANSWER_MILLISECONDS, () => {
+      if (isHeld) limit.abort();
+    });
+    this.isAnswerLost = false;
     try {
-      const page = await store.readConfiguration(
-        this.configurationPosition,
-        CONFIGURATION_WAIT_MILLISECONDS,
-        signal,
-      );
+      const both = AbortSignal.any([signal, limit.signal]);
+      const page = await store.readConfiguration(this.configurationPosition, wait, both);
+      cancel();
       this.configurationPosition = page.position;
       if (page.document === undefined) return;
       state.takeDocument(page.document, 'store');
       this.behindSince = undefined;
       this.tellVersions();
     } catch (error) {
+      cancel();
       if (signal.aborted) return;
+      if (limit.signal.aborted) {
+        this.isAnswerLost = true;
+        return;
+      }
       await this.noteFailure('reading the configuration', error);
       await clock.sleep(this.pauseAfterFailure(), signal);
     }
--- a/packages/gateway/src/__tests__/unit/StateFollower.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateFollower.test.ts
@@ -31,12 +31,23 @@
   return { version: Number(document), limits, routes: new Map() };
 }
 
+/** An answer that never comes; the read ends when its caller gives up. */
+function loseAnswer(signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    const fail = () => reject(new CactusrunError('aborted', { step: 'reading', peer: 'store' }));
+    signal.addEventListener('abort', fail, { once: true });
+  });
+}
+
 /** A store in memory whose registry is a list of changes. */
 class MemoryStore implements GatewayStore {
   private newest = '1';
 
   private waiting: (() => void)[] = [];
 
+  /** Answers to held reads are lost. */
+  public losesAnswers = false;
+
   public isDown = false;
 
   public calls = 0;
@@ -53,15 +64,18 @@
     this.waiting = [];
   }
 
-  public async readConfiguration(after: number | undefined, _wait: number, signal: AbortSignal) {
+  public async readConfiguration(after: number | undefined, wait: number, signal: AbortSignal) {
     this.check();
+    if (this.losesAnswers && wait > 0) return loseAnswer(signal);
     const position = Number(this.document);
     const document = after === position ? undefined : this.document;
     if (document !== undefined) return { position, document };
+    if (wait === 0) return { position, document };
     await new Promise<void>((resolve) => {
       signal.addEventListener('abort', () => resolve());
       this.waiting.push(resolve);
     });
+    if (signal.aborted) throw new CactusrunError('aborted', { step: 'reading', peer: 'store' });
     return { position: Number(this.document), document: this.document };
   }
 
@@ -215,6 +229,19 @@
     });
   });
 
+  describe('the first of its region, when answers to held reads are lost', () => {
+    it('has a new configuration within two and a half seconds', async () => {
+      await clock.advance(100);
+      store.losesAnswers = true;
+      // The read that is held already is answered; the one after it is not.
+      store.document = '2';
+      await clock.advance(100);
+      store.document = '3';
+      await clock.advance(2_400);
+      expect(state.configuration?.version).toBe(3);
+    });
+  });
+
   describe('another one', () => {
     it('does not call the store while news come', async () => {
       await clock.advance(100);
