Sort the gateway's files into folders by what they are about

Cause: packages/gateway/src held 42 files in one folder, so a reader had to know every name to find what decides a request. Change: eight folders (callers, execution, connections, placement, health, fleet, state, wiring); only import paths change.

--- a/packages/gateway/src/__tests__/unit/AttemptTracker.test.ts
+++ b/packages/gateway/src/__tests__/unit/AttemptTracker.test.ts
@@ -1,15 +1,15 @@
 import { Counters, ManualClock, silentLogger } from '@cactusrun/core';
 import { beforeEach, describe, expect, it } from 'vitest';
-import AttemptTracker from '../../AttemptTracker.js';
-import EntryDirectory from '../../EntryDirectory.js';
-import FailureRates from '../../FailureRates.js';
-import FleetMembers from '../../FleetMembers.js';
-import IdleReuse from '../../IdleReuse.js';
-import OutstandingRequests from '../../OutstandingRequests.js';
-import type { PeerMessage } from '../../PeerMessage.js';
-import RetryBudgetShares from '../../RetryBudgetShares.js';
-import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../TargetHealthEstimate.js';
-import TargetTable from '../../TargetTable.js';
+import AttemptTracker from '../../health/AttemptTracker.js';
+import EntryDirectory from '../../fleet/EntryDirectory.js';
+import FailureRates from '../../health/FailureRates.js';
+import FleetMembers from '../../fleet/FleetMembers.js';
+import IdleReuse from '../../connections/IdleReuse.js';
+import OutstandingRequests from '../../placement/OutstandingRequests.js';
+import type { PeerMessage } from '../../fleet/PeerMessage.js';
+import RetryBudgetShares from '../../execution/RetryBudgetShares.js';
+import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../health/TargetHealthEstimate.js';
+import TargetTable from '../../state/TargetTable.js';
 import createPeerDescription from './createPeerDescription.js';
 
 const BUDGET = { ratio: 0.2, fixedRetries: 40, windowMilliseconds: 10_000, regions: 1 };
--- a/packages/gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -2,9 +2,9 @@
 import { connect } from 'node:net';
 import { Counters, createRandom, systemClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import type { CallerExchange, CallerOutcome } from '../../CallerExchange.js';
-import CallerServer from '../../CallerServer.js';
-import type { TargetAnswer } from '../../TargetAttempt.js';
+import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
+import CallerServer from '../../callers/CallerServer.js';
+import type { TargetAnswer } from '../../connections/TargetAttempt.js';
 
 const HOST = '127.0.8.1';
 const PORT = 18_549;
--- a/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
+++ b/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
@@ -1,9 +1,9 @@
 import { ManualClock, silentLogger } from '@cactusrun/core';
 import { beforeEach, describe, expect, it } from 'vitest';
-import EntryDirectory from '../../EntryDirectory.js';
-import FleetMembers, { HEARTBEAT_INTERVAL_MILLISECONDS } from '../../FleetMembers.js';
-import type { MemberHeartbeat } from '../../FleetMembers.js';
-import type { DaemonState } from '../../PeerMessage.js';
+import EntryDirectory from '../../fleet/EntryDirectory.js';
+import FleetMembers, { HEARTBEAT_INTERVAL_MILLISECONDS } from '../../fleet/FleetMembers.js';
+import type { MemberHeartbeat } from '../../fleet/FleetMembers.js';
+import type { DaemonState } from '../../fleet/PeerMessage.js';
 import createPeerDescription from './createPeerDescription.js';
 
 function heartbeatOf(
--- a/packages/gateway/src/__tests__/unit/Heartbeat.test.ts
+++ b/packages/gateway/src/__tests__/unit/Heartbeat.test.ts
@@ -1,10 +1,10 @@
 import type { Stop } from '@cactusrun/core';
 import { createRandom, ManualClock, silentLogger } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import EntryDirectory from '../../EntryDirectory.js';
-import FleetMembers, { HEARTBEAT_INTERVAL_MILLISECONDS } from '../../FleetMembers.js';
-import { startHeartbeat } from '../../Heartbeat.js';
-import type { PeerMessage } from '../../PeerMessage.js';
+import EntryDirectory from '../../fleet/EntryDirectory.js';
+import FleetMembers, { HEARTBEAT_INTERVAL_MILLISECONDS } from '../../fleet/FleetMembers.js';
+import { startHeartbeat } from '../../fleet/Heartbeat.js';
+import type { PeerMessage } from '../../fleet/PeerMessage.js';
 import createPeerDescription from './createPeerDescription.js';
 
 const MEMBERS_PER_ZONE = 12;
--- a/packages/gateway/src/__tests__/unit/IdleReuse.test.ts
+++ b/packages/gateway/src/__tests__/unit/IdleReuse.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from '@cactusrun/core';
 import { beforeEach, describe, expect, it } from 'vitest';
-import IdleReuse, { RECENT_USE_MILLISECONDS } from '../../IdleReuse.js';
+import IdleReuse, { RECENT_USE_MILLISECONDS } from '../../connections/IdleReuse.js';
 
 describe('IdleReuse', () => {
   let clock: ManualClock;
--- a/packages/gateway/src/__tests__/unit/OutstandingRequests.test.ts
+++ b/packages/gateway/src/__tests__/unit/OutstandingRequests.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import OutstandingRequests from '../../OutstandingRequests.js';
+import OutstandingRequests from '../../placement/OutstandingRequests.js';
 
 describe('OutstandingRequests', () => {
   describe('own and peer requests', () => {
--- a/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
-import { decodePeerMessage, encodePeerMessage } from '../../PeerCodec.js';
-import type { PeerMessage } from '../../PeerMessage.js';
+import { decodePeerMessage, encodePeerMessage } from '../../fleet/PeerCodec.js';
+import type { PeerMessage } from '../../fleet/PeerMessage.js';
 
 const VERSIONS = { configuration: 7, targets: 40, ageMilliseconds: 12 };
 
--- a/packages/gateway/src/__tests__/unit/PeerStateServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerStateServer.test.ts
@@ -2,8 +2,8 @@
 import type { Stop } from '@cactusrun/core';
 import { Counters, ManualClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import type { StateSnapshot } from '../../GatewayState.js';
-import { fetchPeerState, servePeerState } from '../../PeerStateServer.js';
+import type { StateSnapshot } from '../../state/GatewayState.js';
+import { fetchPeerState, servePeerState } from '../../state/PeerStateServer.js';
 
 const ADDRESS = '127.0.7.21:17560';
 const ROUTES = 400;
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -1,28 +1,28 @@
 import { Counters, createRandom, ManualClock, silentLogger } from '@cactusrun/core';
 import { CrashTracker } from '@cactusrun/requests';
 import { beforeEach, describe, expect, it } from 'vitest';
-import AttemptTracker from '../../AttemptTracker.js';
-import EntryDirectory from '../../EntryDirectory.js';
-import FailureRates from '../../FailureRates.js';
-import FleetMembers from '../../FleetMembers.js';
+import AttemptTracker from '../../health/AttemptTracker.js';
+import EntryDirectory from '../../fleet/EntryDirectory.js';
+import FailureRates from '../../health/FailureRates.js';
+import FleetMembers from '../../fleet/FleetMembers.js';
 import type {
   GatewayConfiguration,
   GatewayRoute,
   RequestKind,
-} from '../../GatewayConfiguration.js';
-import GatewayState from '../../GatewayState.js';
-import IdleReuse from '../../IdleReuse.js';
-import OutstandingRequests from '../../OutstandingRequests.js';
-import type { CallerExchange, CallerOutcome } from '../../CallerExchange.js';
-import RequestProxy from '../../RequestProxy.js';
-import RetryBudgetShares from '../../RetryBudgetShares.js';
-import ServiceTimes from '../../ServiceTimes.js';
-import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../TargetHealthEstimate.js';
-import type { AttemptResult, OutgoingRequest } from '../../TargetAttempt.js';
-import type TargetConnections from '../../TargetConnections.js';
-import TargetCoverage from '../../TargetCoverage.js';
-import TargetPicker from '../../TargetPicker.js';
-import TargetTable from '../../TargetTable.js';
+} from '../../state/GatewayConfiguration.js';
+import GatewayState from '../../state/GatewayState.js';
+import IdleReuse from '../../connections/IdleReuse.js';
+import OutstandingRequests from '../../placement/OutstandingRequests.js';
+import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
+import RequestProxy from '../../execution/RequestProxy.js';
+import RetryBudgetShares from '../../execution/RetryBudgetShares.js';
+import ServiceTimes from '../../placement/ServiceTimes.js';
+import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../health/TargetHealthEstimate.js';
+import type { AttemptResult, OutgoingRequest } from '../../connections/TargetAttempt.js';
+import type TargetConnections from '../../connections/TargetConnections.js';
+import TargetCoverage from '../../placement/TargetCoverage.js';
+import TargetPicker from '../../placement/TargetPicker.js';
+import TargetTable from '../../state/TargetTable.js';
 import createPeerDescription from './createPeerDescription.js';
 
 const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload'];
--- a/packages/gateway/src/__tests__/unit/RetryBudgetShare.test.ts
+++ b/packages/gateway/src/__tests__/unit/RetryBudgetShare.test.ts
@@ -1,6 +1,6 @@
 import { createRandom, ManualClock } from '@cactusrun/core';
 import { beforeEach, describe, expect, it } from 'vitest';
-import RetryBudgetShare from '../../RetryBudgetShare.js';
+import RetryBudgetShare from '../../execution/RetryBudgetShare.js';
 
 const LIMITS = { ratio: 0.2, fixedRetries: 58, windowMilliseconds: 10_000, regions: 2 };
 
--- a/packages/gateway/src/__tests__/unit/StateFollower.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateFollower.test.ts
@@ -1,16 +1,16 @@
 import type { Stop } from '@cactusrun/core';
 import { CactusrunError, createRandom, ManualClock, silentLogger } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import FleetMembers from '../../FleetMembers.js';
-import type { GatewayConfiguration } from '../../GatewayConfiguration.js';
-import type { StateSnapshot } from '../../GatewayState.js';
-import GatewayState from '../../GatewayState.js';
-import type { GatewayStore, TargetPage } from '../../GatewayStore.js';
-import type { PeerMessage } from '../../PeerMessage.js';
-import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../TargetHealthEstimate.js';
-import StateFollower from '../../StateFollower.js';
-import type { TargetChange, TargetEntry } from '../../TargetEntry.js';
-import TargetTable from '../../TargetTable.js';
+import FleetMembers from '../../fleet/FleetMembers.js';
+import type { GatewayConfiguration } from '../../state/GatewayConfiguration.js';
+import type { StateSnapshot } from '../../state/GatewayState.js';
+import GatewayState from '../../state/GatewayState.js';
+import type { GatewayStore, TargetPage } from '../../state/GatewayStore.js';
+import type { PeerMessage } from '../../fleet/PeerMessage.js';
+import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../health/TargetHealthEstimate.js';
+import StateFollower from '../../state/StateFollower.js';
+import type { TargetChange, TargetEntry } from '../../state/TargetEntry.js';
+import TargetTable from '../../state/TargetTable.js';
 import createPeerDescription from './createPeerDescription.js';
 
 function createEntry(id: string, isLeaving = false): TargetEntry {
--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -2,10 +2,10 @@
 import { createServer } from 'node:net';
 import { Counters, ManualClock, systemClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import IdleReuse, { RECENT_USE_MILLISECONDS } from '../../IdleReuse.js';
-import type { AttemptResult, OutgoingRequest } from '../../TargetAttempt.js';
-import TargetConnections from '../../TargetConnections.js';
-import type { TargetEntry } from '../../TargetEntry.js';
+import IdleReuse, { RECENT_USE_MILLISECONDS } from '../../connections/IdleReuse.js';
+import type { AttemptResult, OutgoingRequest } from '../../connections/TargetAttempt.js';
+import TargetConnections from '../../connections/TargetConnections.js';
+import type { TargetEntry } from '../../state/TargetEntry.js';
 
 const NAMES = {
   attemptId: 'X-Attempt',
--- a/packages/gateway/src/__tests__/unit/TargetHealthEstimate.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetHealthEstimate.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest';
-import EpisodeLength from '../../EpisodeLength.js';
+import EpisodeLength from '../../health/EpisodeLength.js';
 import TargetHealthEstimate, {
   DEFAULT_HEALTH_MODEL_PARAMETERS,
-} from '../../TargetHealthEstimate.js';
+} from '../../health/TargetHealthEstimate.js';
 
 function createEstimate(length = new EpisodeLength()) {
   return new TargetHealthEstimate(DEFAULT_HEALTH_MODEL_PARAMETERS, length, 0);
--- a/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
@@ -1,14 +1,14 @@
 import { createRandom, ManualClock } from '@cactusrun/core';
 import { beforeEach, describe, expect, it } from 'vitest';
-import FailureRates from '../../FailureRates.js';
-import OutstandingRequests from '../../OutstandingRequests.js';
-import ServiceTimes from '../../ServiceTimes.js';
-import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../TargetHealthEstimate.js';
-import type { TargetEntry } from '../../TargetEntry.js';
-import type { PickQuery } from '../../TargetPicker.js';
-import TargetCoverage from '../../TargetCoverage.js';
-import TargetPicker from '../../TargetPicker.js';
-import TargetTable from '../../TargetTable.js';
+import FailureRates from '../../health/FailureRates.js';
+import OutstandingRequests from '../../placement/OutstandingRequests.js';
+import ServiceTimes from '../../placement/ServiceTimes.js';
+import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../health/TargetHealthEstimate.js';
+import type { TargetEntry } from '../../state/TargetEntry.js';
+import type { PickQuery } from '../../placement/TargetPicker.js';
+import TargetCoverage from '../../placement/TargetCoverage.js';
+import TargetPicker from '../../placement/TargetPicker.js';
+import TargetTable from '../../state/TargetTable.js';
 
 const QUERY: PickQuery = {
   service: 'orders',
--- a/packages/gateway/src/__tests__/unit/createPeerDescription.ts
+++ b/packages/gateway/src/__tests__/unit/createPeerDescription.ts
@@ -1,5 +1,5 @@
 /** A peer description for tests: a ready daemon in zone `z` of region `r`. */
-import type { PeerDescription } from '../../PeerMessage.js';
+import type { PeerDescription } from '../../fleet/PeerMessage.js';
 
 export default function createPeerDescription(
   name: string,
--- a/packages/gateway/src/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -1,6 +1,6 @@
 /** A caller's request as the gateway receives it, and the outcome for the caller. */
 import type { RefusalReason } from './Refusal.js';
-import type { HeaderFields, TargetAnswer } from './TargetAttempt.js';
+import type { HeaderFields, TargetAnswer } from '../connections/TargetAttempt.js';
 
 export interface CallerExchange {
   readonly id: string;
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -6,10 +6,10 @@
 import { CactusrunError } from '@cactusrun/core';
 import { endToEndHeaders, listHeaders, refuseMalformed } from '@cactusrun/requests';
 import type { CallerExchange, CallerOutcome } from './CallerExchange.js';
-import type { CallerLimits } from './GatewayConfiguration.js';
+import type { CallerLimits } from '../state/GatewayConfiguration.js';
 import type { RefusalReason } from './Refusal.js';
 import { REFUSAL_RULES } from './Refusal.js';
-import type { TargetAnswer } from './TargetAttempt.js';
+import type { TargetAnswer } from '../connections/TargetAttempt.js';
 
 /** Limits that apply until there is a configuration. */
 const DEFAULT_LIMITS: CallerLimits = {
--- a/packages/gateway/src/shutDownGracefully.ts
+++ b/packages/gateway/src/callers/shutDownGracefully.ts
@@ -1,6 +1,6 @@
 /** The graceful shutdown of the server for callers. */
 import type CallerServer from './CallerServer.js';
-import type { GatewayOptions } from './GatewayOptions.js';
+import type { GatewayOptions } from '../wiring/GatewayOptions.js';
 
 /** Keeps serving for a while, then accepts nothing new and waits for the requests in flight. */
 export default async function shutDownGracefully(
--- a/packages/gateway/src/TargetConnections.ts
+++ b/packages/gateway/src/connections/TargetConnections.ts
@@ -16,7 +16,7 @@
   readTargetAnswer,
 } from './readTargetAnswer.js';
 import type { AttemptResult, OutgoingRequest, TargetFieldNames } from './TargetAttempt.js';
-import type { TargetEntry } from './TargetEntry.js';
+import type { TargetEntry } from '../state/TargetEntry.js';
 
 /** Connection timeout: a few round trips, less than the retransmission of a lost packet takes. */
 const CONNECT_TIMEOUT_MILLISECONDS = 150;
--- a/packages/gateway/src/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -4,16 +4,16 @@
  */
 import type { Counters, Logger } from '@cactusrun/core';
 import type { CrashTracker } from '@cactusrun/requests';
-import type { CallerExchange, CallerOutcome } from './CallerExchange.js';
-import { refuse } from './CallerExchange.js';
-import type { GatewayRoute } from './GatewayConfiguration.js';
-import type { RefusalReason } from './Refusal.js';
+import type { CallerExchange, CallerOutcome } from '../callers/CallerExchange.js';
+import { refuse } from '../callers/CallerExchange.js';
+import type { GatewayRoute } from '../state/GatewayConfiguration.js';
+import type { RefusalReason } from '../callers/Refusal.js';
 import type RetryBudgetShares from './RetryBudgetShares.js';
 import type { AttemptParts, RunningAttempt } from './RunningAttempt.js';
 import { isSuccessful, SERVER_ERROR_STATUS, startAttempt } from './RunningAttempt.js';
-import type { AttemptResult, TargetAnswer } from './TargetAttempt.js';
-import type TargetPicker from './TargetPicker.js';
-import type { Pick, PickResult } from './TargetPicker.js';
+import type { AttemptResult, TargetAnswer } from '../connections/TargetAttempt.js';
+import type TargetPicker from '../placement/TargetPicker.js';
+import type { Pick, PickResult } from '../placement/TargetPicker.js';
 
 /** Failed connections after which a request is refused. */
 const MAXIMUM_FAILED_CONNECTIONS = 8;
--- a/packages/gateway/src/RequestProxy.ts
+++ b/packages/gateway/src/execution/RequestProxy.ts
@@ -1,13 +1,13 @@
 /** Routes a caller's request to a service, has it executed and logs the outcome. */
 import { createHash } from 'node:crypto';
 import type { Random } from '@cactusrun/core';
-import type { CallerExchange, CallerOutcome } from './CallerExchange.js';
-import { refuse } from './CallerExchange.js';
-import type FailureRates from './FailureRates.js';
-import type { GatewayRoute } from './GatewayConfiguration.js';
-import { chooseService, findRoute } from './GatewayConfiguration.js';
-import type GatewayState from './GatewayState.js';
-import type { RefusalReason } from './Refusal.js';
+import type { CallerExchange, CallerOutcome } from '../callers/CallerExchange.js';
+import { refuse } from '../callers/CallerExchange.js';
+import type FailureRates from '../health/FailureRates.js';
+import type { GatewayRoute } from '../state/GatewayConfiguration.js';
+import { chooseService, findRoute } from '../state/GatewayConfiguration.js';
+import type GatewayState from '../state/GatewayState.js';
+import type { RefusalReason } from '../callers/Refusal.js';
 import type { RequestExecutionParts } from './RequestExecution.js';
 import RequestExecution from './RequestExecution.js';
 import { SERVER_ERROR_STATUS } from './RunningAttempt.js';
--- a/packages/gateway/src/RunningAttempt.ts
+++ b/packages/gateway/src/execution/RunningAttempt.ts
@@ -1,11 +1,11 @@
 /** One attempt: sends a request to the picked target, reports the outcome and detects a stall. */
 import type { Clock } from '@cactusrun/core';
-import type AttemptTracker from './AttemptTracker.js';
-import type { AttemptOutcome } from './PeerMessage.js';
-import type ServiceTimes from './ServiceTimes.js';
-import type { AttemptResult, OutgoingRequest } from './TargetAttempt.js';
-import type TargetConnections from './TargetConnections.js';
-import type { Pick } from './TargetPicker.js';
+import type AttemptTracker from '../health/AttemptTracker.js';
+import type { AttemptOutcome } from '../fleet/PeerMessage.js';
+import type ServiceTimes from '../placement/ServiceTimes.js';
+import type { AttemptResult, OutgoingRequest } from '../connections/TargetAttempt.js';
+import type TargetConnections from '../connections/TargetConnections.js';
+import type { Pick } from '../placement/TargetPicker.js';
 
 /** An attempt stalls when it takes this many times longer than expected, and at least the minimum. */
 const STALL_FACTOR = 3.5;
--- a/packages/gateway/src/LocalDaemon.ts
+++ b/packages/gateway/src/fleet/LocalDaemon.ts
@@ -1,7 +1,7 @@
 /** This daemon as described to its peers: its identity, readiness and versions. */
 import type FleetMembers from './FleetMembers.js';
-import type { GatewayOptions } from './GatewayOptions.js';
-import type { SharedState } from './GatewayParts.js';
+import type { GatewayOptions } from '../wiring/GatewayOptions.js';
+import type { SharedState } from '../wiring/GatewayParts.js';
 import type { PeerSender } from './PeerLink.js';
 import type { DaemonState, PeerDescription, PeerMessage } from './PeerMessage.js';
 
--- a/packages/gateway/src/PeerDiscovery.ts
+++ b/packages/gateway/src/fleet/PeerDiscovery.ts
@@ -5,7 +5,7 @@
 import type { Clock, Logger, Stop } from '@cactusrun/core';
 import { describeError, repeatUntilAborted, startTask } from '@cactusrun/core';
 import type FleetMembers from './FleetMembers.js';
-import type { GatewayStore } from './GatewayStore.js';
+import type { GatewayStore } from '../state/GatewayStore.js';
 
 /** Time for the peers named in the settings to answer. */
 const SEED_ANSWER_MILLISECONDS = 1_000;
--- a/packages/gateway/src/PeerMessage.ts
+++ b/packages/gateway/src/fleet/PeerMessage.ts
@@ -1,6 +1,6 @@
 /** Messages that daemons send one another by datagrams. Any may be lost, delayed or duplicated. */
-import type { StorePosition } from './GatewayStore.js';
-import type { TargetChange } from './TargetEntry.js';
+import type { StorePosition } from '../state/GatewayStore.js';
+import type { TargetChange } from '../state/TargetEntry.js';
 
 export type DaemonState = 'starting' | 'ready' | 'leaving';
 
--- a/packages/gateway/src/peerHandlers.ts
+++ b/packages/gateway/src/fleet/peerHandlers.ts
@@ -2,12 +2,12 @@
 import type { Random } from '@cactusrun/core';
 import { shuffle } from '@cactusrun/core';
 import type { CrashTracker } from '@cactusrun/requests';
-import type AttemptTracker from './AttemptTracker.js';
-import type { SharedState } from './GatewayParts.js';
+import type AttemptTracker from '../health/AttemptTracker.js';
+import type { SharedState } from '../wiring/GatewayParts.js';
 import type LocalDaemon from './LocalDaemon.js';
 import type { PeerSender } from './PeerLink.js';
 import type { PeerMessage, PeerMessageKind } from './PeerMessage.js';
-import type StateFollower from './StateFollower.js';
+import type StateFollower from '../state/StateFollower.js';
 
 /** Members to which a new one is announced at once. */
 const NEW_MEMBER_RECIPIENTS = 8;
--- a/packages/gateway/src/AttemptTracker.ts
+++ b/packages/gateway/src/health/AttemptTracker.ts
@@ -3,16 +3,16 @@
  * peers report, and reports its own to peers within milliseconds.
  */
 import type { Clock, Counters, Logger } from '@cactusrun/core';
-import type EntryDirectory from './EntryDirectory.js';
+import type EntryDirectory from '../fleet/EntryDirectory.js';
 import type FailureRates from './FailureRates.js';
-import type IdleReuse from './IdleReuse.js';
-import type OutstandingRequests from './OutstandingRequests.js';
-import type { PeerSender } from './PeerLink.js';
-import type { AttemptOutcome, AttemptReport } from './PeerMessage.js';
-import type RetryBudgetShares from './RetryBudgetShares.js';
+import type IdleReuse from '../connections/IdleReuse.js';
+import type OutstandingRequests from '../placement/OutstandingRequests.js';
+import type { PeerSender } from '../fleet/PeerLink.js';
+import type { AttemptOutcome, AttemptReport } from '../fleet/PeerMessage.js';
+import type RetryBudgetShares from '../execution/RetryBudgetShares.js';
 import type { Observation } from './TargetHealthEstimate.js';
-import type TargetTable from './TargetTable.js';
-import type { KnownTarget } from './TargetTable.js';
+import type TargetTable from '../state/TargetTable.js';
+import type { KnownTarget } from '../state/TargetTable.js';
 
 /**
  * Pending reports are sent together after the shortest of their delays. Daemons that choose targets
--- a/packages/gateway/src/TargetCoverage.ts
+++ b/packages/gateway/src/placement/TargetCoverage.ts
@@ -6,8 +6,8 @@
  * anyway. This matters at light load, where nothing else spreads requests.
  */
 import type { Clock } from '@cactusrun/core';
-import type FailureRates from './FailureRates.js';
-import type { KnownTarget } from './TargetTable.js';
+import type FailureRates from '../health/FailureRates.js';
+import type { KnownTarget } from '../state/TargetTable.js';
 
 /** A target without a request for this long is idle; below the 2 s after which it counts as unused. */
 const IDLE_MILLISECONDS = 1_400;
--- a/packages/gateway/src/TargetPicker.ts
+++ b/packages/gateway/src/placement/TargetPicker.ts
@@ -6,13 +6,13 @@
  * wait does.
  */
 import type { Clock, Random } from '@cactusrun/core';
-import type { RequestKind } from './GatewayConfiguration.js';
+import type { RequestKind } from '../state/GatewayConfiguration.js';
 import type OutstandingRequests from './OutstandingRequests.js';
 import type ServiceTimes from './ServiceTimes.js';
 import type TargetCoverage from './TargetCoverage.js';
 import type { DueReason } from './TargetCoverage.js';
-import type TargetTable from './TargetTable.js';
-import type { KnownTarget } from './TargetTable.js';
+import type TargetTable from '../state/TargetTable.js';
+import type { KnownTarget } from '../state/TargetTable.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Probability per second that the target becomes unhealthy before it starts a waiting request. */
--- a/packages/gateway/src/GatewayState.ts
+++ b/packages/gateway/src/state/GatewayState.ts
@@ -3,7 +3,7 @@
 import { describeError } from '@cactusrun/core';
 import type { GatewayConfiguration } from './GatewayConfiguration.js';
 import type { StorePosition } from './GatewayStore.js';
-import type { KnownVersions, PeerAddress } from './PeerMessage.js';
+import type { KnownVersions, PeerAddress } from '../fleet/PeerMessage.js';
 import type { TargetChange, TargetEntry } from './TargetEntry.js';
 import type TargetTable from './TargetTable.js';
 
--- a/packages/gateway/src/StateFollower.ts
+++ b/packages/gateway/src/state/StateFollower.ts
@@ -5,12 +5,12 @@
  */
 import type { Clock, Logger, Random, Stop } from '@cactusrun/core';
 import { describeError, mergeStops, pickOne, repeatUntilAborted, startTask } from '@cactusrun/core';
-import type FleetMembers from './FleetMembers.js';
+import type FleetMembers from '../fleet/FleetMembers.js';
 import type GatewayState from './GatewayState.js';
 import type { StateSnapshot } from './GatewayState.js';
 import type { GatewayStore, StorePosition, TargetPage } from './GatewayStore.js';
-import type { PeerSender } from './PeerLink.js';
-import type { KnownVersions, PeerMessage } from './PeerMessage.js';
+import type { PeerSender } from '../fleet/PeerLink.js';
+import type { KnownVersions, PeerMessage } from '../fleet/PeerMessage.js';
 import type { TargetChange } from './TargetEntry.js';
 
 /** Pause between two reads of the registry, well under the time in which drains must be known. */
--- a/packages/gateway/src/TargetTable.ts
+++ b/packages/gateway/src/state/TargetTable.ts
@@ -1,10 +1,10 @@
 /** The registered targets of each service, with the health estimate of each. */
 import type { Clock } from '@cactusrun/core';
-import EpisodeLength from './EpisodeLength.js';
-import type { UnhealthyTarget } from './PeerMessage.js';
+import EpisodeLength from '../health/EpisodeLength.js';
+import type { UnhealthyTarget } from '../fleet/PeerMessage.js';
 import type { TargetChange, TargetEntry } from './TargetEntry.js';
-import type { HealthModelParameters } from './TargetHealthEstimate.js';
-import TargetHealthEstimate from './TargetHealthEstimate.js';
+import type { HealthModelParameters } from '../health/TargetHealthEstimate.js';
+import TargetHealthEstimate from '../health/TargetHealthEstimate.js';
 
 /** A target is reported to peers as unhealthy from this probability on. */
 const REPORT_PROBABILITY = 0.7;
--- a/packages/gateway/src/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -1,10 +1,10 @@
 /** What the data path needs from the program that embeds it. */
 import type { Clock, Counters, Logger, Random } from '@cactusrun/core';
-import type { CallerFieldNames } from './CallerServer.js';
-import type { GatewayConfiguration } from './GatewayConfiguration.js';
-import type { GatewayStore } from './GatewayStore.js';
-import type { RetryBudgetLimits } from './RetryBudgetShare.js';
-import type { TargetFieldNames } from './TargetAttempt.js';
+import type { CallerFieldNames } from '../callers/CallerServer.js';
+import type { GatewayConfiguration } from '../state/GatewayConfiguration.js';
+import type { GatewayStore } from '../state/GatewayStore.js';
+import type { RetryBudgetLimits } from '../execution/RetryBudgetShare.js';
+import type { TargetFieldNames } from '../connections/TargetAttempt.js';
 
 /** Durations of a graceful shutdown, counted from the signal. */
 export interface StopTimes {
--- a/packages/gateway/src/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -1,22 +1,22 @@
 /** Constructs the state and the request path of one daemon, without its links to peers. */
 import type { CrashTracker } from '@cactusrun/requests';
-import type AttemptTracker from './AttemptTracker.js';
-import CallerServer from './CallerServer.js';
-import FailureRates from './FailureRates.js';
-import FleetMembers from './FleetMembers.js';
+import type AttemptTracker from '../health/AttemptTracker.js';
+import CallerServer from '../callers/CallerServer.js';
+import FailureRates from '../health/FailureRates.js';
+import FleetMembers from '../fleet/FleetMembers.js';
 import type { GatewayOptions } from './GatewayOptions.js';
-import GatewayState from './GatewayState.js';
-import IdleReuse from './IdleReuse.js';
-import OutstandingRequests from './OutstandingRequests.js';
-import type { PeerDescription } from './PeerMessage.js';
-import RequestProxy from './RequestProxy.js';
-import RetryBudgetShares from './RetryBudgetShares.js';
-import ServiceTimes from './ServiceTimes.js';
-import TargetConnections from './TargetConnections.js';
-import TargetCoverage from './TargetCoverage.js';
-import { DEFAULT_HEALTH_MODEL_PARAMETERS } from './TargetHealthEstimate.js';
-import TargetPicker from './TargetPicker.js';
-import TargetTable from './TargetTable.js';
+import GatewayState from '../state/GatewayState.js';
+import IdleReuse from '../connections/IdleReuse.js';
+import OutstandingRequests from '../placement/OutstandingRequests.js';
+import type { PeerDescription } from '../fleet/PeerMessage.js';
+import RequestProxy from '../execution/RequestProxy.js';
+import RetryBudgetShares from '../execution/RetryBudgetShares.js';
+import ServiceTimes from '../placement/ServiceTimes.js';
+import TargetConnections from '../connections/TargetConnections.js';
+import TargetCoverage from '../placement/TargetCoverage.js';
+import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../health/TargetHealthEstimate.js';
+import TargetPicker from '../placement/TargetPicker.js';
+import TargetTable from '../state/TargetTable.js';
 
 /** State that the components of one daemon share: targets, members and persistent data. */
 export interface SharedState {
--- a/packages/gateway/src/wireGateway.ts
+++ b/packages/gateway/src/wiring/wireGateway.ts
@@ -2,20 +2,20 @@
 import type { Stop } from '@cactusrun/core';
 import { mergeStops } from '@cactusrun/core';
 import { CrashTracker } from '@cactusrun/requests';
-import AttemptTracker from './AttemptTracker.js';
-import EntryDirectory from './EntryDirectory.js';
+import AttemptTracker from '../health/AttemptTracker.js';
+import EntryDirectory from '../fleet/EntryDirectory.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 import type { SharedState } from './GatewayParts.js';
 import { buildCallerServer, buildSharedState } from './GatewayParts.js';
-import { startHeartbeat } from './Heartbeat.js';
-import LocalDaemon from './LocalDaemon.js';
-import { startPeerDiscovery } from './PeerDiscovery.js';
-import type { PeerHandlers } from './peerHandlers.js';
-import { createPeerHandlers, dispatchPeerMessage } from './peerHandlers.js';
-import PeerLink from './PeerLink.js';
-import { fetchPeerState, servePeerState } from './PeerStateServer.js';
-import shutDownGracefully from './shutDownGracefully.js';
-import StateFollower from './StateFollower.js';
+import { startHeartbeat } from '../fleet/Heartbeat.js';
+import LocalDaemon from '../fleet/LocalDaemon.js';
+import { startPeerDiscovery } from '../fleet/PeerDiscovery.js';
+import type { PeerHandlers } from '../fleet/peerHandlers.js';
+import { createPeerHandlers, dispatchPeerMessage } from '../fleet/peerHandlers.js';
+import PeerLink from '../fleet/PeerLink.js';
+import { fetchPeerState, servePeerState } from '../state/PeerStateServer.js';
+import shutDownGracefully from '../callers/shutDownGracefully.js';
+import StateFollower from '../state/StateFollower.js';
 
 export interface Gateway {
   /** Whether callers may be directed here. */
