Answer pipelined requests in order, and end answers without end

Cause: (1) all requests of a caller's connection ran at once; behind an answer that closed it, requests that had run lost their answers and stayed counted in flight for ever. A malformed request behind a good one was answered 400 in the place of the good one's answer. The HTTP server's close() destroyed connections whose large answer was not yet handed to the network. (2) The deadline and the caller's cancellation were dropped once an answer had passed 1 MB, so a target that went on sending was passed on without end; a refusal with an endless body kept its connection; an answer without a length that was reset after 1 MB looked whole. (3) A late copy of a refusal, or of a failure without identifier, was taken for the answer to the next request on the connection: 'not run' was then untrue.

--- a/packages/gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -50,6 +50,7 @@
       random: createRandom(1),
       counters: new Counters(),
       limits: () => LIMITS,
+      canOverlap: (received) => received.method === 'GET',
       handle: (received) => {
         exchanges.push(received);
         return handle(received);
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -27,8 +27,8 @@
 
 const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload'];
 
-function answer(status: number, isSigned = true): AttemptResult {
-  const body = { bodyStart: Buffer.from('x'), bodyRest: undefined, isFramed: true };
+function answer(status: number, isSigned = true, isFramed = true): AttemptResult {
+  const body = { bodyStart: Buffer.from('x'), bodyRest: undefined, isFramed };
   const seen = { reportedRequests: undefined, isSigned };
   return { kind: 'answered', answer: { status, fields: [], ...body, ...seen } };
 }
@@ -37,6 +37,7 @@
   good: answer(200),
   failed: answer(500),
   unsigned: answer(200, false),
+  unframed: answer(200, true, false),
   full: { kind: 'not-run', reason: 'full' },
   other: { kind: 'not-run', reason: 'other-target' },
   unreached: { kind: 'not-sent', detail: 'no connection', isRefused: false },
@@ -177,6 +178,7 @@
       deadlineMilliseconds: 1_500,
       receivedAt: clock.now(),
       signal: new AbortController().signal,
+      isFollowed: () => false,
       ...change,
     };
   }
@@ -227,6 +229,33 @@
     });
   });
 
+  describe('an answer without a length, which closes the connection', () => {
+    beforeEach(() => answerInTurn('unframed', 'good'));
+
+    it('is replaced by that of another target while later requests are being executed', async () => {
+      const exchange = createExchange('idempotent', { isFollowed: () => true });
+      const outcome = await proxy.handle(exchange);
+      expect(outcome).toMatchObject({ kind: 'answered', answer: { isFramed: true } });
+      expect(sent).toHaveLength(2);
+    });
+
+    it('is used when no other target may be tried', async () => {
+      answerInTurn('failed', 'unframed', 'good');
+      const exchange = createExchange('idempotent', { isFollowed: () => true });
+      const outcome = await proxy.handle(exchange);
+      expect(outcome).toMatchObject({ kind: 'answered', answer: { isFramed: false } });
+    });
+
+    it('is used when nothing follows, or when the request must run once', async () => {
+      const alone = await proxy.handle(createExchange('idempotent'));
+      expect(alone).toMatchObject({ answer: { isFramed: false } });
+      answerInTurn('unframed');
+      const once = createExchange('non-idempotent', { isFollowed: () => true });
+      expect(await proxy.handle(once)).toMatchObject({ answer: { isFramed: false } });
+      expect(sent).toHaveLength(2);
+    });
+  });
+
   describe('requests that cannot be served', () => {
     it('are refused without a configuration, after a quarter of their deadline at most', async () => {
       hasState = false;
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
@@ -0,0 +1,310 @@
+import type { Server, Socket } from 'node:net';
+import { createServer } from 'node:net';
+import type { Readable } from 'node:stream';
+import { Counters, systemClock } from '@cactusrun/core';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import AnswerCutError from '../../connections/AnswerCutError.js';
+import IdleReuse from '../../connections/IdleReuse.js';
+import type { AttemptResult } from '../../connections/TargetAttempt.js';
+import TargetConnections from '../../connections/TargetConnections.js';
+
+const NAMES = {
+  attemptId: 'X-Attempt',
+  deadline: 'X-Deadline',
+  expectedTarget: 'X-Expected',
+  notRun: 'X-Not-Run',
+  load: 'X-Load',
+  signature: 'X-Signature',
+};
+const DEADLINE_MILLISECONDS = 300;
+/** Time within which an exchange must end after its deadline, or after its caller has left. */
+const END_MILLISECONDS = 200;
+const CHUNK = 'x'.repeat(65_536);
+
+type Script = (socket: Socket, attempt: string) => void;
+
+/** A target in trouble may send bytes that are no answer, or an answer without end. */
+describe('TargetExchange', () => {
+  let server: Server;
+  let connections: TargetConnections;
+  let sockets: Socket[];
+  let script: Script;
+  let nextId = 0;
+
+  beforeEach(async () => {
+    sockets = [];
+    connections = new TargetConnections(
+      NAMES,
+      new IdleReuse(systemClock),
+      systemClock,
+      new Counters(),
+    );
+    server = createServer((socket) => {
+      sockets.push(socket);
+      socket.on('error', () => {});
+      socket.on('data', (bytes) => {
+        const attempt = /X-Attempt: (\S+)/.exec(bytes.toString())?.[1];
+        if (attempt !== undefined) script(socket, attempt);
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+  });
+
+  afterEach(async () => {
+    connections.close();
+    sockets.forEach((socket) => socket.destroy());
+    await new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  });
+
+  function send(signal = new AbortController().signal): Promise<AttemptResult> {
+    const { port } = server.address() as { port: number };
+    nextId += 1;
+    const target = {
+      id: 'target-1',
+      address: `127.0.0.1:${port}`,
+      service: 's',
+      zone: 'z',
+      slots: 2,
+      isLeaving: false,
+      coldMilliseconds: 0,
+      bornAt: 1,
+    };
+    const request = {
+      id: `attempt-${nextId}`,
+      method: 'POST',
+      path: '/p',
+      fields: [['host', 'h']] as const,
+      body: Buffer.from('body'),
+      kind: 'once' as const,
+      isRetry: false,
+      needsNewConnection: false,
+      deadline: systemClock.now() + DEADLINE_MILLISECONDS,
+    };
+    return connections.send(target, request, signal);
+  }
+
+  function head(attempt: string, fields: string, status = '200 OK'): string {
+    return `HTTP/1.1 ${status}\r\nX-Attempt: ${attempt}\r\nX-Signature: s\r\n${fields}\r\n`;
+  }
+
+  /** Writes as fast as the connection takes it, until it is closed. */
+  function writeForever(socket: Socket, text: string): void {
+    const write = () => {
+      if (socket.destroyed) return;
+      if (socket.write(text)) setImmediate(write);
+      else socket.once('drain', write);
+    };
+    write();
+  }
+
+  /** Writes the text again and again, one byte every few milliseconds. */
+  function writeSlowly(socket: Socket, text: string): void {
+    let position = 0;
+    const timer = setInterval(() => {
+      if (socket.destroyed) clearInterval(timer);
+      else socket.write(text[position % text.length] ?? '');
+      position += 1;
+    }, 5);
+  }
+
+  const writers: Readonly<Record<string, (socket: Socket, text: string) => void>> = {
+    'at full speed': writeForever,
+    'a byte at a time': writeSlowly,
+  };
+
+  interface Delivery {
+    readonly result: AttemptResult;
+    readonly bytes: number;
+    readonly error: Error | undefined;
+    readonly isWhole: boolean;
+  }
+
+  async function readRest(bodyRest: Readable): Promise<Omit<Delivery, 'result'>> {
+    let bytes = 0;
+    return new Promise((resolve) => {
+      bodyRest.on('data', (chunk: Buffer) => {
+        bytes += chunk.length;
+      });
+      bodyRest.on('end', () => resolve({ bytes, error: undefined, isWhole: true }));
+      bodyRest.on('error', (error) => resolve({ bytes, error, isWhole: false }));
+    });
+  }
+
+  async function deliver(signal?: AbortSignal): Promise<Delivery> {
+    const result = await send(signal);
+    if (result.kind !== 'answered') return { result, bytes: 0, error: undefined, isWhole: false };
+    const { bodyRest } = result.answer;
+    if (bodyRest === undefined) return { result, bytes: 0, error: undefined, isWhole: true };
+    return { result, ...(await readRest(bodyRest)) };
+  }
+
+  /** What is sent before the bytes without end, and the bytes themselves. */
+  const endless: Readonly<Record<string, readonly [(attempt: string) => string, string]>> = {
+    'in the status line': [() => 'HTTP/1.1 200 ', 'x'],
+    'that are not HTTP': [() => '', 'rubbish '],
+    'in the head': [(attempt) => head(attempt, '').slice(0, -2), 'X-More: y\r\n'],
+    'in one header field': [(attempt) => `${head(attempt, '').slice(0, -2)}X-More: `, 'y'],
+    'as informational answers': [() => '', 'HTTP/1.1 102 Processing\r\n\r\n'],
+    'in a body with a length': [
+      (attempt) => head(attempt, 'content-length: 99999999999\r\n'),
+      CHUNK,
+    ],
+    'in a body without a length': [(attempt) => head(attempt, ''), CHUNK],
+    'in chunks': [
+      (attempt) => head(attempt, 'transfer-encoding: chunked\r\n'),
+      `10000\r\n${CHUNK}\r\n`,
+    ],
+    'in a chunk extension': [
+      (attempt) => `${head(attempt, 'transfer-encoding: chunked\r\n')}5;`,
+      'x',
+    ],
+    'between chunks': [
+      (attempt) => `${head(attempt, 'transfer-encoding: chunked\r\n')}1\r\na\r\n`,
+      'zz',
+    ],
+    'in the trailer': [
+      (attempt) => `${head(attempt, 'transfer-encoding: chunked\r\n')}0\r\n`,
+      'X-More: y\r\n',
+    ],
+  };
+
+  describe('bytes without end', () => {
+    Object.entries(endless).forEach(([place, [prefix, text]]) => {
+      Object.entries(writers).forEach(([pace, write]) => {
+        it(`${place}, ${pace}, end at the deadline and are no whole answer`, async () => {
+          script = (socket, attempt) => {
+            socket.write(prefix(attempt));
+            write(socket, text);
+          };
+          const startedAt = systemClock.now();
+          const delivery = await deliver();
+          expect(systemClock.now() - startedAt).toBeLessThan(
+            DEADLINE_MILLISECONDS + END_MILLISECONDS,
+          );
+          expect(delivery.isWhole).toBe(false);
+          await systemClock.sleep(30);
+          expect(sockets[0]?.destroyed).toBe(true);
+        });
+      });
+    });
+
+    it('in a large body count as a failure of the target', async () => {
+      script = (socket, attempt) => {
+        socket.write(head(attempt, ''));
+        writeForever(socket, CHUNK);
+      };
+      const { error } = await deliver();
+      expect(error instanceof AnswerCutError && error.isTargetFailure).toBe(true);
+    });
+
+    it('in a large body end at once when the caller disconnects', async () => {
+      script = (socket, attempt) => {
+        socket.write(head(attempt, ''));
+        writeForever(socket, CHUNK);
+      };
+      const controller = new AbortController();
+      const result = await send(controller.signal);
+      expect(result.kind).toBe('answered');
+      controller.abort();
+      await systemClock.sleep(50);
+      expect(sockets[0]?.destroyed).toBe(true);
+    });
+
+    it('behind a refusal leave the request not run and close the connection', async () => {
+      script = (socket, attempt) => {
+        socket.write(head(attempt, 'X-Not-Run: 1\r\n', '503 Full'));
+        writeForever(socket, CHUNK);
+      };
+      expect(await send()).toEqual({ kind: 'not-run', reason: 'full' });
+      await systemClock.sleep(100);
+      expect(sockets[0]?.destroyed).toBe(true);
+    });
+
+    it('after a whole answer close the connection and reach no other request', async () => {
+      script = (socket, attempt) => {
+        socket.write(`${head(attempt, 'content-length: 2\r\n')}ok`);
+        setTimeout(() => writeForever(socket, CHUNK), 10);
+      };
+      const first = await send();
+      expect(first.kind === 'answered' && first.answer.bodyStart.toString()).toBe('ok');
+      await systemClock.sleep(60);
+      expect(sockets[0]?.destroyed).toBe(true);
+      const second = await send();
+      expect(second.kind === 'answered' && second.answer.bodyStart.toString()).toBe('ok');
+      expect(sockets).toHaveLength(2);
+    });
+  });
+
+  describe('a large answer', () => {
+    it('is passed on whole', async () => {
+      script = (socket, attempt) => {
+        socket.write(head(attempt, `content-length: ${CHUNK.length * 40}\r\n`));
+        socket.write(CHUNK.repeat(40));
+      };
+      const { result, bytes, isWhole } = await deliver();
+      const start = result.kind === 'answered' ? result.answer.bodyStart.length : 0;
+      expect(isWhole).toBe(true);
+      expect(start + bytes).toBe(CHUNK.length * 40);
+    });
+
+    it('without a length that is reset is not passed on as whole', async () => {
+      script = (socket, attempt) => {
+        socket.write(head(attempt, '') + CHUNK.repeat(20));
+        setTimeout(() => socket.resetAndDestroy(), 60);
+      };
+      const { isWhole, error } = await deliver();
+      expect(isWhole).toBe(false);
+      expect(error instanceof AnswerCutError && error.isTargetFailure).toBe(true);
+    });
+
+    it('that has arrived whole is still delivered after the deadline', async () => {
+      script = (socket, attempt) => {
+        socket.write(head(attempt, `content-length: ${CHUNK.length * 17}\r\n`));
+        socket.write(CHUNK.repeat(17));
+      };
+      const result = await send();
+      const bodyRest = result.kind === 'answered' ? result.answer.bodyRest : undefined;
+      expect(bodyRest).toBeDefined();
+      await systemClock.sleep(DEADLINE_MILLISECONDS + 50);
+      expect((await readRest(bodyRest!)).isWhole).toBe(true);
+    });
+  });
+
+  describe('a late second copy on a reused connection', () => {
+    /** The first request is answered, the second gets only a late copy with these header lines. */
+    function answerLate(copy: (first: string) => string): Script {
+      let first: string | undefined;
+      return (socket, attempt) => {
+        if (first === undefined) socket.write(`${head(attempt, 'content-length: 2\r\n')}ok`);
+        else socket.write(copy(first));
+        first ??= attempt;
+      };
+    }
+
+    const copies: Readonly<Record<string, (first: string) => string>> = {
+      'of an answer': (first) => `${head(first, 'content-length: 2\r\n')}ok`,
+      'of a failure': (first) => head(first, 'content-length: 0\r\n', '500 Failed'),
+      'of a failure without identifier': () => 'HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n',
+      'of a refusal': (first) =>
+        head(first, 'X-Not-Run: 1\r\ncontent-length: 0\r\n', '503 Unavailable'),
+      'of a refusal without identifier': () =>
+        'HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\ncontent-length: 0\r\n\r\n',
+      'of a misdirected request': (first) =>
+        head(first, 'content-length: 0\r\n', '421 Misdirected'),
+    };
+
+    Object.entries(copies).forEach(([name, copy]) => {
+      it(`${name} is not the answer to the next request, which may have run`, async () => {
+        script = answerLate(copy);
+        expect((await send()).kind).toBe('answered');
+        await systemClock.sleep(10);
+        expect((await send()).kind).toBe('broken');
+        expect(sockets).toHaveLength(1);
+      });
+    });
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/callers/AnswerWriter.ts
@@ -0,0 +1,61 @@
+/** Writes outcomes to callers: answers of targets as they are, and the gateway's own refusals. */
+import type { ServerResponse } from 'node:http';
+import type { Random } from '@cactusrun/core';
+import type { TargetAnswer } from '../connections/TargetAttempt.js';
+import type { RefusalReason } from './Refusal.js';
+import { REFUSAL_RULES } from './Refusal.js';
+
+/** Relative jitter of the retry-after time around its mean. */
+const RETRY_AFTER_JITTER = 0.5;
+const MILLISECONDS_PER_SECOND = 1_000;
+const CLOSE_FIELDS: readonly string[] = ['connection', 'close'];
+
+export default class AnswerWriter {
+  constructor(private readonly random: Random) {}
+
+  /**
+   * Writes the answer of a target.
+   *
+   * @param closes - whether the connection ends with this answer
+   * @param onCut - called when the rest of the body breaks off
+   */
+  public static writeAnswer(
+    response: ServerResponse,
+    answer: TargetAnswer,
+    closes: boolean,
+    onCut: () => void,
+  ): void {
+    const { bodyStart, bodyRest } = answer;
+    const hasKnownLength = bodyRest === undefined && answer.isFramed;
+    if (!answer.isFramed) response.useChunkedEncodingByDefault = false;
+    response.writeHead(answer.status, [
+      ...answer.fields.flat(),
+      ...(hasKnownLength ? ['content-length', String(bodyStart.length)] : []),
+      ...(closes ? CLOSE_FIELDS : []),
+    ]);
+    if (bodyRest === undefined) {
+      response.end(bodyStart);
+      return;
+    }
+    response.write(bodyStart);
+    bodyRest.on('error', onCut);
+    bodyRest.pipe(response);
+  }
+
+  /** @param closes - whether the connection ends with this answer */
+  public writeRefusal(response: ServerResponse, reason: RefusalReason, closes: boolean): void {
+    const rule = REFUSAL_RULES[reason];
+    const jitter = 1 + RETRY_AFTER_JITTER * (2 * this.random.unit() - 1);
+    const seconds = (rule.retryAfterMilliseconds * jitter) / MILLISECONDS_PER_SECOND;
+    const body = `${JSON.stringify({ reason, meaning: rule.meaning, notRun: rule.isNotRun })}\n`;
+    response.writeHead(rule.status, [
+      'content-type',
+      'application/json',
+      'content-length',
+      String(Buffer.byteLength(body)),
+      ...(seconds > 0 ? ['retry-after', seconds.toFixed(2)] : []),
+      ...(closes ? CLOSE_FIELDS : []),
+    ]);
+    response.end(body);
+  }
+}
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -15,6 +15,11 @@
   readonly receivedAt: number;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
+  /**
+   * Whether later requests of its connection are being executed, which an answer that closes the
+   * connection would cut off.
+   */
+  readonly isFollowed: () => boolean;
 }
 
 export type CallerOutcome =
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -2,14 +2,18 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
+import { Server as ConnectionServer } from 'node:net';
 import type { Clock, Counters, Random } from '@cactusrun/core';
 import { CactusrunError } from '@cactusrun/core';
 import { endToEndHeaders, listHeaders, refuseMalformed } from '@cactusrun/requests';
-import type { CallerExchange, CallerOutcome } from './CallerExchange.js';
+import type { TargetAnswer } from '../connections/TargetAttempt.js';
 import type { CallerLimits } from '../state/GatewayConfiguration.js';
+import AnswerWriter from './AnswerWriter.js';
+import type { ConnectionRequest } from './CallerConnection.js';
+import CallerConnection from './CallerConnection.js';
+import type { CallerExchange, CallerOutcome } from './CallerExchange.js';
+import readRequestBody from './readRequestBody.js';
 import type { RefusalReason } from './Refusal.js';
-import { REFUSAL_RULES } from './Refusal.js';
-import type { TargetAnswer } from '../connections/TargetAttempt.js';
 
 /** Limits that apply until there is a configuration. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -18,10 +22,6 @@
   headerMilliseconds: 10_000,
   idleMilliseconds: 15_000,
 };
-/** Longest wait for the next chunk of a body. */
-const BODY_INACTIVITY_MILLISECONDS = 10_000;
-/** Relative jitter of the retry-after time around its mean. */
-const RETRY_AFTER_JITTER = 0.5;
 const LISTEN_BACKLOG = 1_024;
 
 /** Names of header fields that callers set and the gateway reads. */
@@ -40,24 +40,31 @@
   readonly random: Random;
   readonly counters: Counters;
   readonly limits: () => CallerLimits | undefined;
+  /** Whether the request is idempotent, so that it may run beside others of its connection. */
+  readonly canOverlap: (exchange: CallerExchange) => boolean;
   readonly handle: (exchange: CallerExchange) => Promise<CallerOutcome>;
 }
 
-type BodyResult =
-  | { readonly kind: 'whole'; readonly body: Buffer }
-  | { readonly kind: 'too-large' }
-  | { readonly kind: 'cut' };
+/** One request on its way: the connection that it came on, and the response to write. */
+interface Incoming {
+  readonly connection: CallerConnection;
+  readonly request: ConnectionRequest;
+  readonly response: ServerResponse;
+}
 
 export default class CallerServer {
   private readonly server: Server;
 
-  private inFlight = 0;
+  private readonly writer: AnswerWriter;
+
+  private readonly connections = new Map<Socket, CallerConnection>();
 
   private isDraining = false;
 
   private onIdle: (() => void) | undefined;
 
   constructor(private readonly options: CallerServerOptions) {
+    this.writer = new AnswerWriter(options.random);
     this.server = createServer(
       {
         maxHeaderSize: DEFAULT_LIMITS.headerBytes,
@@ -67,9 +74,7 @@
         connectionsCheckingInterval: 1_000,
         noDelay: true,
       },
-      (request, response) => {
-        this.serve(request, response).catch(() => response.destroy());
-      },
+      (request, response) => this.receive(request, response),
     );
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket as Socket));
   }
@@ -92,16 +97,17 @@
     this.server.headersTimeout = limits.headerMilliseconds;
   }
 
-  /** From now on every answer closes its connection. */
+  /** From now on each connection closes with the answer to the last request that was started. */
   public beginDraining(): void {
     this.isDraining = true;
   }
 
-  /** Stops accepting connections, closes idle ones and waits for the requests in flight. */
+  /** Stops accepting connections and waits for the requests in flight. */
   public async finishDraining(): Promise<void> {
-    this.server.close();
-    this.server.closeIdleConnections();
-    if (this.inFlight === 0) return;
+    // The HTTP server's own close() also destroys connections whose answer is ended but not yet
+    // handed to the network. Idle connections are left to closeNow().
+    ConnectionServer.prototype.close.call(this.server);
+    if (this.requestsInFlight === 0) return;
     await new Promise<void>((resolve) => {
       this.onIdle = resolve;
     });
@@ -113,44 +119,67 @@
     this.server.closeAllConnections();
   }
 
+  /** Requests whose answer has not been written, on connections that are still open. */
   public get requestsInFlight(): number {
-    return this.inFlight;
+    return [...this.connections.values()].reduce((sum, { size }) => sum + size, 0);
   }
 
-  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { clock } = this.options;
-    const receivedAt = clock.now();
-    const controller = new AbortController();
-    this.inFlight += 1;
-    response.on('close', () => {
-      this.inFlight -= 1;
-      if (!response.writableFinished) controller.abort();
-      if (this.inFlight === 0) this.onIdle?.();
+  private receive(request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.connectionOf(request.socket);
+    const incoming = { connection, request: connection.add(() => request.complete), response };
+    response.on('finish', () => connection.finish(incoming.request));
+    this.serve(request, incoming).catch(() => connection.cut(incoming.request));
+  }
+
+  private connectionOf(socket: Socket): CallerConnection {
+    const known = this.connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = new CallerConnection(socket, () => this.checkIdle());
+    this.connections.set(socket, connection);
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      this.checkIdle();
     });
+    return connection;
+  }
+
+  private checkIdle(): void {
+    if (this.onIdle !== undefined && this.requestsInFlight === 0) this.onIdle();
+  }
+
+  private async serve(request: IncomingMessage, incoming: Incoming): Promise<void> {
+    const { clock, counters } = this.options;
+    const { connection } = incoming;
+    const receivedAt = clock.now();
     const limits = this.options.limits() ?? DEFAULT_LIMITS;
     if (headerSize(request) > limits.headerBytes) {
-      this.writeRefusal(response, 'headers-too-large');
+      this.writeRefusal(incoming, 'headers-too-large');
       return;
     }
-    const body = await readBody(request, limits.bodyBytes, clock);
+    const body = await readRequestBody(request, limits.bodyBytes, clock);
     if (body.kind === 'cut') {
-      this.options.counters.add('callers', 'body-cut');
-      response.destroy();
+      counters.add('callers', 'body-cut');
+      connection.cut(incoming.request);
       return;
     }
     if (body.kind === 'too-large') {
-      this.writeRefusal(response, 'body-too-large');
+      this.writeRefusal(incoming, 'body-too-large');
       return;
     }
-    const exchange = this.createExchange(request, body.body, receivedAt, controller.signal);
-    this.writeOutcome(response, await this.options.handle(exchange));
+    const exchange = this.createExchange(request, body.bytes, receivedAt, incoming);
+    const canOverlap = this.options.canOverlap(exchange);
+    if (!(await connection.awaitTurn(incoming.request, canOverlap, body.bytes.length))) {
+      counters.add('callers', 'behind-close');
+      return;
+    }
+    await this.writeOutcome(incoming, await this.options.handle(exchange));
   }
 
   private createExchange(
     request: IncomingMessage,
     body: Buffer,
     receivedAt: number,
-    signal: AbortSignal,
+    { connection, request: pending }: Incoming,
   ): CallerExchange {
     const { names } = this.options;
     const isReserved = (name: string) => name === 'content-length' || names.reserved.has(name);
@@ -164,96 +193,60 @@
       body,
       deadlineMilliseconds: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
       receivedAt,
-      signal,
+      signal: pending.signal,
+      isFollowed: () => connection.isFollowed(pending),
     };
   }
 
-  private writeOutcome(response: ServerResponse, outcome: CallerOutcome): void {
-    if (outcome.kind === 'cancelled' || response.destroyed) {
+  private async writeOutcome(incoming: Incoming, outcome: CallerOutcome): Promise<void> {
+    if (outcome.kind === 'refused') this.writeRefusal(incoming, outcome.reason);
+    else if (outcome.kind === 'answered') await this.writeAnswer(incoming, outcome.answer);
+    else this.options.counters.add('callers', 'gone');
+  }
+
+  /** A body of unknown length is only begun when nothing is ahead, so that a cut shows at once. */
+  private async writeAnswer(incoming: Incoming, answer: TargetAnswer): Promise<void> {
+    const { connection, request, response } = incoming;
+    const { bodyRest } = answer;
+    if (bodyRest !== undefined) {
+      bodyRest.on('error', () => this.options.counters.add('callers', 'answer-cut'));
+      await connection.awaitLead(request);
+    }
+    if (request.signal.aborted) {
       this.options.counters.add('callers', 'gone');
-      response.destroy();
+      bodyRest?.destroy();
       return;
     }
-    if (outcome.kind === 'refused') this.writeRefusal(response, outcome.reason);
-    else this.forwardAnswer(response, outcome.answer);
-  }
-
-  private forwardAnswer(response: ServerResponse, answer: TargetAnswer): void {
-    const { bodyStart, bodyRest } = answer;
-    const hasKnownLength = bodyRest === undefined && answer.isFramed;
-    // A body that the target ended by closing its connection may be truncated. The caller's
-    // connection is closed too, so that the caller can see this.
-    if (!answer.isFramed) response.useChunkedEncodingByDefault = false;
-    response.writeHead(answer.status, [
-      ...answer.fields.flat(),
-      ...(hasKnownLength ? ['content-length', String(bodyStart.length)] : []),
-      ...(answer.isFramed ? this.connectionFields(response) : ['connection', 'close']),
-    ]);
-    if (bodyRest === undefined) {
-      response.end(bodyStart);
+    if (bodyRest?.errored) {
+      this.writeRefusal(incoming, 'connection-broke');
       return;
     }
-    response.write(bodyStart);
-    bodyRest.on('error', () => {
-      this.options.counters.add('callers', 'answer-cut');
-      response.destroy();
-    });
-    bodyRest.pipe(response);
+    // A body that the target ended by closing its connection may be truncated. The caller's
+    // connection is closed too, so that the caller can see this.
+    if (!answer.isFramed) connection.startNoMore();
+    const closes = this.closesWith(incoming) || !answer.isFramed;
+    AnswerWriter.writeAnswer(response, answer, closes, () => connection.cut(request));
   }
 
-  private writeRefusal(response: ServerResponse, reason: RefusalReason): void {
-    const rule = REFUSAL_RULES[reason];
+  private writeRefusal(incoming: Incoming, reason: RefusalReason): void {
+    if (incoming.request.signal.aborted) return;
     this.options.counters.add('refusals', reason);
-    const jitter = 1 + RETRY_AFTER_JITTER * (2 * this.options.random.unit() - 1);
-    const seconds = (rule.retryAfterMilliseconds * jitter) / 1_000;
-    const body = `${JSON.stringify({ reason, meaning: rule.meaning, notRun: rule.isNotRun })}\n`;
-    response.writeHead(rule.status, [
-      'content-type',
-      'application/json',
-      'content-length',
-      String(Buffer.byteLength(body)),
-      ...(seconds > 0 ? ['retry-after', seconds.toFixed(2)] : []),
-      ...this.connectionFields(response),
-    ]);
-    response.end(body);
+    this.writer.writeRefusal(incoming.response, reason, this.closesWith(incoming));
   }
 
-  private connectionFields(response: ServerResponse): string[] {
-    return this.isDraining || !response.req.complete ? ['connection', 'close'] : [];
+  private closesWith({ connection, request, response }: Incoming): boolean {
+    return connection.closesWith(request, this.isDraining || !response.req.complete);
   }
 
   private rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
     this.options.counters.add('malformed_requests', error.code ?? 'unknown');
-    refuseMalformed(error, socket);
+    const connection = this.connections.get(socket);
+    // An error response now would be taken for the answer to a request before the malformed bytes.
+    if (connection?.owesAnswers && error.code !== 'ECONNRESET') connection.endReading();
+    else refuseMalformed(error, socket);
   }
 }
 
 function headerSize(request: IncomingMessage): number {
   return request.rawHeaders.reduce((sum, text) => sum + text.length + 2, request.url?.length ?? 0);
 }
-
-function readBody(request: IncomingMessage, limit: number, clock: Clock): Promise<BodyResult> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    let cancelTimer = () => {};
-    const settle = (result: BodyResult) => {
-      cancelTimer();
-      resolve(result);
-    };
-    const restartTimer = () => {
-      cancelTimer();
-      cancelTimer = clock.after(BODY_INACTIVITY_MILLISECONDS, () => settle({ kind: 'cut' }));
-    };
-    request.on('data', (chunk: Buffer) => {
-      restartTimer();
-      size += chunk.length;
-      if (size > limit) settle({ kind: 'too-large' });
-      else chunks.push(chunk);
-    });
-    request.on('end', () => settle({ kind: 'whole', body: Buffer.concat(chunks) }));
-    request.on('error', () => settle({ kind: 'cut' }));
-    request.on('close', () => settle({ kind: 'cut' }));
-    restartTimer();
-  });
-}
--- /dev/null
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -0,0 +1,237 @@
+/**
+ * One request and its answer on one connection to a target. The deadline and the cancellation by the
+ * caller hold until the last byte of the answer: a target may send an answer without end, or bytes
+ * that are no answer.
+ */
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import { request as httpRequest } from 'node:http';
+import type { Socket } from 'node:net';
+import { PassThrough } from 'node:stream';
+import type { Clock, Counters } from '@cactusrun/core';
+import AnswerCutError from './AnswerCutError.js';
+import { RECENT_USE_MILLISECONDS } from './IdleReuse.js';
+import {
+  belongsToAnotherRequest,
+  readIdleTime,
+  readRefusal,
+  readTargetAnswer,
+} from './readTargetAnswer.js';
+import type { AttemptResult, OutgoingRequest, TargetFieldNames } from './TargetAttempt.js';
+
+/** Answers up to this size are buffered whole before the caller gets any of them. */
+const MAXIMUM_BUFFERED_BYTES = 1_048_576;
+/**
+ * A break within this time is a drop: a write on a dropped connection is reset after a round trip. A
+ * later break means that the target had begun the request.
+ */
+const DROP_DETECTION_MILLISECONDS = 100;
+/** Body of a refusal after which its connection is closed rather than read to the end. */
+const MAXIMUM_REFUSAL_BYTES = 16_384;
+/** Time for the body of a refusal after which its connection is closed. */
+const REFUSAL_BODY_MILLISECONDS = 1_000;
+/** Informational (1xx) answers before the final one. */
+const MAXIMUM_INFORMATIONAL_ANSWERS = 8;
+
+export interface ExchangeParts {
+  readonly names: TargetFieldNames;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  /** Takes the connection back after a complete answer, with the time that it may stay idle. */
+  readonly release: (socket: Socket, idleMilliseconds: number) => void;
+}
+
+/** The connection that carries the request. */
+export interface ExchangeConnection {
+  readonly socket: Socket;
+  readonly isReused: boolean;
+  /** Time since its last answer ended; 0 for a new connection. */
+  readonly idleMilliseconds: number;
+}
+
+export default class TargetExchange {
+  private readonly client: ClientRequest;
+
+  private readonly startedAt: number;
+
+  private resolve: ((result: AttemptResult) => void) | undefined;
+
+  private isSettled = false;
+
+  private hasResponse = false;
+
+  private informationalAnswers = 0;
+
+  /** The rest of an answer that is too large to buffer, while it is passed on. */
+  private bodyRest: PassThrough | undefined;
+
+  private stopWatching: (() => void) | undefined;
+
+  constructor(
+    private readonly parts: ExchangeParts,
+    private readonly targetId: string,
+    private readonly request: OutgoingRequest,
+    private readonly connection: ExchangeConnection,
+  ) {
+    this.startedAt = parts.clock.now();
+    this.client = this.writeRequest();
+  }
+
+  /** Waits for the answer, or its first part if it is large. The promise never rejects. */
+  public run(signal: AbortSignal): Promise<AttemptResult> {
+    const { clock } = this.parts;
+    return new Promise((resolve) => {
+      this.resolve = resolve;
+      const cancelTimer = clock.after(this.request.deadline - clock.now(), () => this.expire());
+      const onAbort = () => this.abandon({ kind: 'cancelled' }, 'caller disconnected', false);
+      signal.addEventListener('abort', onAbort, { once: true });
+      this.stopWatching = () => {
+        cancelTimer();
+        signal.removeEventListener('abort', onAbort);
+      };
+      this.client.on('error', (error) => this.fail(error.message));
+      this.client.on('close', () => this.fail('connection closed'));
+      this.client.on('information', () => this.countInformational());
+      this.client.on('response', (response) => this.readAnswer(response));
+    });
+  }
+
+  private writeRequest(): ClientRequest {
+    const { names, clock } = this.parts;
+    const { request } = this;
+    const remaining = Math.max(1, Math.floor(request.deadline - clock.now()));
+    const hasBody = request.body.length > 0 || !['GET', 'HEAD'].includes(request.method);
+    const fields = [
+      ...request.fields,
+      [names.attemptId, request.id] as const,
+      [names.deadline, String(remaining)] as const,
+      [names.expectedTarget, this.targetId] as const,
+      ['connection', 'keep-alive'] as const,
+      ...(hasBody ? [['content-length', String(request.body.length)] as const] : []),
+    ];
+    const client = httpRequest({
+      method: request.method,
+      path: request.path,
+      headers: fields.map(([name, value]) => [name, value]) as never,
+      setHost: false,
+      createConnection: () => this.connection.socket,
+    });
+    // Without an agent, Node assumes that the connection closes after its first answer.
+    client.shouldKeepAlive = true;
+    client.end(hasBody ? request.body : undefined);
+    return client;
+  }
+
+  private readAnswer(response: IncomingMessage): void {
+    const { names, counters, release } = this.parts;
+    const { socket, isReused } = this.connection;
+    this.hasResponse = true;
+    if (belongsToAnotherRequest(response, names, this.request.id, isReused)) {
+      counters.add('target_answers', 'of-another-request');
+      this.fail('answer belongs to another request');
+      return;
+    }
+    socket.once('free', () => release(socket, readIdleTime(response)));
+    const refusal = readRefusal(response, names);
+    if (refusal === undefined) this.readBody(response);
+    else this.discardRefusalBody(response, refusal);
+  }
+
+  private readBody(response: IncomingMessage): void {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const finish = () => {
+      const start = Buffer.concat(chunks);
+      const answer = readTargetAnswer(response, this.parts.names, start, this.bodyRest);
+      this.settle({ kind: 'answered', answer });
+    };
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size <= MAXIMUM_BUFFERED_BYTES) return;
+      response.removeListener('data', onData);
+      this.passOn(response);
+      finish();
+    };
+    response.on('data', onData);
+    response.on('error', (error) => this.fail(error.message));
+    response.on('end', () => {
+      if (!response.complete) this.fail('incomplete answer');
+      else if (this.bodyRest === undefined) finish();
+    });
+  }
+
+  /** Passes the rest of a large answer on while it arrives. */
+  private passOn(response: IncomingMessage): void {
+    const bodyRest = new PassThrough();
+    this.bodyRest = bodyRest;
+    response.pipe(bodyRest);
+    bodyRest.on('error', () => this.destroy());
+    bodyRest.on('close', () => {
+      this.stopWatching?.();
+      if (!bodyRest.writableFinished) this.destroy();
+    });
+  }
+
+  /** The head alone proves that the request was not run; its body may be long or have no end. */
+  private discardRefusalBody(
+    response: IncomingMessage,
+    refusal: Extract<AttemptResult, { kind: 'not-run' }>,
+  ): void {
+    this.settle(refusal);
+    let size = 0;
+    const cancelTimer = this.parts.clock.after(REFUSAL_BODY_MILLISECONDS, () => this.destroy());
+    response.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > MAXIMUM_REFUSAL_BYTES) this.destroy();
+    });
+    response.on('error', () => this.destroy());
+    response.on('close', cancelTimer);
+  }
+
+  private countInformational(): void {
+    this.informationalAnswers += 1;
+    if (this.informationalAnswers > MAXIMUM_INFORMATIONAL_ANSWERS) {
+      this.fail('too many informational answers');
+    }
+  }
+
+  /** Ends the exchange at the deadline; a slow caller, rather than the target, may have caused it. */
+  private expire(): void {
+    const isCallerSlow = this.bodyRest?.writableNeedDrain === true;
+    this.abandon({ kind: 'timeout' }, 'deadline passed', !isCallerSlow);
+  }
+
+  private fail(detail: string): void {
+    const { clock } = this.parts;
+    const isDrop =
+      !this.hasResponse &&
+      this.connection.idleMilliseconds > RECENT_USE_MILLISECONDS &&
+      clock.now() - this.startedAt < DROP_DETECTION_MILLISECONDS;
+    this.abandon({ kind: isDrop ? 'dropped' : 'broken', detail }, detail, true);
+  }
+
+  /** Ends the exchange before its answer is complete, and cuts what was passed on. */
+  private abandon(result: AttemptResult, detail: string, isTargetFailure: boolean): void {
+    if (this.bodyRest !== undefined) {
+      const isWhole = this.bodyRest.writableEnded;
+      if (isWhole && result.kind !== 'cancelled') return;
+      this.bodyRest.destroy(new AnswerCutError(detail, this.targetId, isTargetFailure));
+      return;
+    }
+    if (this.isSettled) return;
+    this.settle(result);
+    this.destroy();
+  }
+
+  private settle(result: AttemptResult): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
+    if (this.bodyRest === undefined) this.stopWatching?.();
+    this.resolve?.(result);
+  }
+
+  private destroy(): void {
+    this.client.destroy();
+    this.connection.socket.destroy();
+  }
+}
--- a/packages/gateway/src/connections/readTargetAnswer.ts
+++ b/packages/gateway/src/connections/readTargetAnswer.ts
@@ -29,16 +29,21 @@
 }
 
 /**
- * Whether the answer belongs to another request. An answer without an identifier is attributed to the
- * waiting request unless it is a success.
+ * Whether the answer may belong to another request. A late second copy of an earlier answer, also of
+ * a refusal, arrives where the next one is expected. An answer without an identifier is attributed to
+ * the waiting request only if it is no success and the first one on its connection.
+ *
+ * @param isReused - whether the connection has carried earlier requests
  */
 export function belongsToAnotherRequest(
   response: IncomingMessage,
   names: TargetFieldNames,
   id: string,
+  isReused: boolean,
 ): boolean {
   const answeredId = fieldOf(response, names.attemptId);
-  return answeredId === undefined ? isSuccess(response.statusCode ?? 0) : answeredId !== id;
+  if (answeredId !== undefined) return answeredId !== id;
+  return isReused || isSuccess(response.statusCode ?? 0);
 }
 
 /** @param bodyRest - what follows the first part of the body, if anything does */
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -212,9 +212,25 @@
       return isRetriable ? RETRY : { kind: 'done', outcome: this.failure };
     }
     const isGenuine = answer.isSigned || answer.status >= REDIRECT_STATUS;
-    return isGenuine
-      ? { kind: 'done', outcome: { kind: 'answered', answer } }
-      : this.handleFailure('unsigned-answer');
+    if (!isGenuine) {
+      answer.bodyRest?.destroy();
+      return this.handleFailure('unsigned-answer');
+    }
+    if (!this.wouldCutOthers(answer))
+      return { kind: 'done', outcome: { kind: 'answered', answer } };
+    this.failedAttempts += 1;
+    this.failure = { kind: 'answered', answer };
+    return RETRY;
+  }
+
+  /**
+   * Whether the answer, which has no length, would end the connection while later requests of the
+   * caller are being executed. Another target's answer is preferred then, if there is one in time.
+   */
+  private wouldCutOthers(answer: TargetAnswer): boolean {
+    const { exchange, route } = this.plan;
+    const isWhole = answer.bodyRest === undefined;
+    return !answer.isFramed && isWhole && route.kind === 'idempotent' && exchange.isFollowed();
   }
 
   private handleFailure(reason: RefusalReason): Step {
--- a/packages/gateway/src/execution/RunningAttempt.ts
+++ b/packages/gateway/src/execution/RunningAttempt.ts
@@ -1,5 +1,7 @@
 /** One attempt: sends a request to the picked target, reports the outcome and detects a stall. */
+import { finished } from 'node:stream';
 import type { Clock } from '@cactusrun/core';
+import AnswerCutError from '../connections/AnswerCutError.js';
 import type AttemptTracker from '../health/AttemptTracker.js';
 import type { AttemptOutcome } from '../fleet/PeerMessage.js';
 import type ServiceTimes from '../placement/ServiceTimes.js';
@@ -54,7 +56,11 @@
     cancelStall();
     const reportedRequests =
       result.kind === 'answered' ? result.answer.reportedRequests : undefined;
-    attemptTracker.end(entry.id, outcomeOf(result), clock.now() - startedAt, reportedRequests);
+    const end = (outcome: AttemptOutcome | undefined) =>
+      attemptTracker.end(entry.id, outcome, clock.now() - startedAt, reportedRequests);
+    const bodyRest = result.kind === 'answered' ? result.answer.bodyRest : undefined;
+    if (bodyRest === undefined) end(outcomeOf(result));
+    else finished(bodyRest, { readable: false }, (error) => end(outcomeOfBody(result, error)));
     if (isSuccessful(result)) {
       const queueRounds = (pick.requestsThere + 1) / entry.slots;
       serviceTimes.record(service, entry.id, clock.now() - startedAt, queueRounds);
@@ -87,6 +93,15 @@
   cancelled: undefined,
 };
 
+/** The outcome of an attempt whose answer was passed on while it arrived. */
+function outcomeOfBody(
+  result: AttemptResult,
+  error: Error | null | undefined,
+): AttemptOutcome | undefined {
+  if (!error) return outcomeOf(result);
+  return error instanceof AnswerCutError && error.isTargetFailure ? 'failed' : undefined;
+}
+
 function outcomeOf(result: AttemptResult): AttemptOutcome | undefined {
   if (isSuccessful(result)) return 'good';
   if (result.kind === 'not-sent' && result.isRefused) return 'unreachable';
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -5,6 +5,7 @@
 import FailureRates from '../health/FailureRates.js';
 import FleetMembers from '../fleet/FleetMembers.js';
 import type { GatewayOptions } from './GatewayOptions.js';
+import { findRoute } from '../state/GatewayConfiguration.js';
 import GatewayState from '../state/GatewayState.js';
 import IdleReuse from '../connections/IdleReuse.js';
 import OutstandingRequests from '../placement/OutstandingRequests.js';
@@ -117,6 +118,9 @@
     random: options.random,
     counters: options.counters,
     limits: () => state.configuration?.limits,
+    canOverlap: ({ host, path }) =>
+      state.configuration !== undefined &&
+      findRoute(state.configuration, host, path)?.kind === 'idempotent',
     handle: async (exchange) => {
       const { configuration } = state;
       if (configuration !== undefined) server.applyLimits(configuration.limits);
