Close connections on which a refusal's body has no end, on both data paths

Cause: after a refusal the daemon's path read the rest of the body for as long as it came, and kept the connection. Test: endlessAnswers.test.ts, 19 cases; the refusal's failed before, the others pass before and after (the deadline there always held for the body).

--- a/packages/daemon/src/TargetExchange.ts
+++ b/packages/daemon/src/TargetExchange.ts
@@ -4,7 +4,7 @@
 import { pipeline } from 'node:stream';
 import type { Clock, ConnectionAge } from '@cactusrun/core';
 import type { Attempt, TargetResult } from '@cactusrun/requests';
-import { listHeaders } from '@cactusrun/requests';
+import { discardBody, listHeaders } from '@cactusrun/requests';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 /** Response header with which an upstream states that it did not run a request. */
@@ -72,7 +72,7 @@
     this.isSettled = true;
     const state = response.headers[STATE_HEADER];
     if (typeof state === 'string' && SHED_STATES.includes(state)) {
-      response.resume();
+      discardBody(response, this.clock, () => this.request.destroy());
       this.resolve({ kind: 'shed', isLeaving: state === 'draining' });
       return;
     }
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/endlessAnswers.test.ts
@@ -0,0 +1,132 @@
+import type { Server, Socket } from 'node:net';
+import { createServer } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { Target } from '@cactusrun/core';
+import { systemClock } from '@cactusrun/core';
+import type { Attempt, TargetResult } from '@cactusrun/requests';
+import HttpTargetConnector from '../../HttpTargetConnector.js';
+
+const HOST = '127.0.77.7';
+const CHUNK = 'x'.repeat(65_536);
+/** Time for bytes to arrive before the request is aborted at its deadline. */
+const ARRIVAL_MILLISECONDS = 120;
+
+/** What is sent before the bytes without end, and the bytes themselves. */
+const ENDLESS: Readonly<Record<string, readonly [string, string]>> = {
+  'in the status line': ['HTTP/1.1 200 ', 'x'],
+  'that are not HTTP': ['', 'rubbish '],
+  'in the head': ['HTTP/1.1 200 OK\r\n', 'X-More: y\r\n'],
+  'as informational answers': ['', 'HTTP/1.1 102 Processing\r\n\r\n'],
+  'in a body with a length': ['HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n', CHUNK],
+  'in a body without a length': ['HTTP/1.1 200 OK\r\n\r\n', CHUNK],
+  'in chunks': ['HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', `10000\r\n${CHUNK}\r\n`],
+  'between chunks': ['HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n', 'zz'],
+  'in the trailer': ['HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n', 'X: y\r\n'],
+};
+
+/** A target in trouble may send bytes that are no answer, or an answer without end. */
+describe('HttpTargetConnector and answers without end', () => {
+  let server: Server;
+  let sockets: Socket[];
+  let connector: HttpTargetConnector;
+  let script: (socket: Socket) => void;
+
+  beforeEach(async () => {
+    sockets = [];
+    connector = new HttpTargetConnector(systemClock, () => 4);
+    server = createServer((socket) => {
+      sockets.push(socket);
+      socket.on('error', () => {});
+      socket.once('data', () => script(socket));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, HOST, resolve);
+    });
+  });
+
+  afterEach(async () => {
+    connector.close();
+    sockets.forEach((socket) => socket.destroy());
+    await new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  });
+
+  function writeForever(socket: Socket, text: string): void {
+    const write = () => {
+      if (socket.destroyed) return;
+      if (socket.write(text)) setImmediate(write);
+      else socket.once('drain', write);
+    };
+    write();
+  }
+
+  function writeSlowly(socket: Socket, text: string): void {
+    let position = 0;
+    const timer = setInterval(() => {
+      if (socket.destroyed) clearInterval(timer);
+      else socket.write(text[position % text.length] ?? '');
+      position += 1;
+    }, 5);
+  }
+
+  const writers: Readonly<Record<string, (socket: Socket, text: string) => void>> = {
+    'at full speed': writeForever,
+    'a byte at a time': writeSlowly,
+  };
+
+  function send(signal: AbortSignal): Promise<TargetResult> {
+    const { port } = server.address() as { port: number };
+    const target = { address: `${HOST}:${port}` } as Target;
+    const attempt = {
+      service: 's',
+      method: 'GET',
+      path: '/x',
+      headers: [],
+      body: { head: Buffer.alloc(0), isWhole: true },
+      callerZone: 'z',
+      deadline: systemClock.now() + 5_000,
+    } as unknown as Attempt;
+    return connector.send(target, attempt, signal, () => {});
+  }
+
+  /** Whether the whole body of the answer arrived. */
+  async function isWhole(result: TargetResult): Promise<boolean> {
+    if (result.kind !== 'answered') return false;
+    return new Promise((resolve) => {
+      result.body.on('data', () => {});
+      result.body.on('end', () => resolve(true));
+      result.body.on('error', () => resolve(false));
+      result.body.on('close', () => resolve(false));
+    });
+  }
+
+  Object.entries(ENDLESS).forEach(([place, [prefix, text]]) => {
+    Object.entries(writers).forEach(([pace, write]) => {
+      it(`${place}, ${pace}, end when the request is aborted and are no whole answer`, async () => {
+        script = (socket) => {
+          socket.write(prefix);
+          write(socket, text);
+        };
+        const controller = new AbortController();
+        const ending = send(controller.signal).then(isWhole);
+        await systemClock.sleep(ARRIVAL_MILLISECONDS);
+        controller.abort();
+        expect(await ending).toBe(false);
+        await systemClock.sleep(30);
+        expect(sockets[0]?.destroyed).toBe(true);
+      });
+    });
+  });
+
+  it('behind a refusal leave the request not run and close the connection', async () => {
+    script = (socket) => {
+      socket.write('HTTP/1.1 503 No\r\nUpstream-State: shed\r\n\r\n');
+      writeForever(socket, CHUNK);
+    };
+    const result = await send(new AbortController().signal);
+    expect(result).toEqual({ kind: 'shed', isLeaving: false });
+    await systemClock.sleep(200);
+    expect(sockets[0]?.destroyed).toBe(true);
+  });
+});
--- a/packages/gateway/src/connections/TargetExchange.ts
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -8,6 +8,7 @@
 import type { Socket } from 'node:net';
 import { PassThrough } from 'node:stream';
 import type { Clock, Counters } from '@cactusrun/core';
+import { discardBody } from '@cactusrun/requests';
 import AnswerCutError from './AnswerCutError.js';
 import { RECENT_USE_MILLISECONDS } from './IdleReuse.js';
 import {
@@ -25,10 +26,6 @@
  * later break means that the target had begun the request.
  */
 const DROP_DETECTION_MILLISECONDS = 100;
-/** Body of a refusal after which its connection is closed rather than read to the end. */
-const MAXIMUM_REFUSAL_BYTES = 16_384;
-/** Time for the body of a refusal after which its connection is closed. */
-const REFUSAL_BODY_MILLISECONDS = 1_000;
 /** Informational (1xx) answers before the final one. */
 const MAXIMUM_INFORMATIONAL_ANSWERS = 8;
 
@@ -132,8 +129,13 @@
     }
     socket.once('free', () => release(socket, readIdleTime(response)));
     const refusal = readRefusal(response, names);
-    if (refusal === undefined) this.readBody(response);
-    else this.discardRefusalBody(response, refusal);
+    if (refusal === undefined) {
+      this.readBody(response);
+      return;
+    }
+    // The head alone proves that the request was not run; the body may be long or have no end.
+    this.settle(refusal);
+    discardBody(response, this.parts.clock, () => this.destroy());
   }
 
   private readBody(response: IncomingMessage): void {
@@ -172,22 +174,6 @@
     });
   }
 
-  /** The head alone proves that the request was not run; its body may be long or have no end. */
-  private discardRefusalBody(
-    response: IncomingMessage,
-    refusal: Extract<AttemptResult, { kind: 'not-run' }>,
-  ): void {
-    this.settle(refusal);
-    let size = 0;
-    const cancelTimer = this.parts.clock.after(REFUSAL_BODY_MILLISECONDS, () => this.destroy());
-    response.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > MAXIMUM_REFUSAL_BYTES) this.destroy();
-    });
-    response.on('error', () => this.destroy());
-    response.on('close', cancelTimer);
-  }
-
   private countInformational(): void {
     this.informationalAnswers += 1;
     if (this.informationalAnswers > MAXIMUM_INFORMATIONAL_ANSWERS) {
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,5 +1,6 @@
 export { refusal } from './Attempt.js';
 export { default as CrashTracker, CRASHES_TO_HOLD, HOLD_MILLISECONDS } from './CrashTracker.js';
+export { default as discardBody } from './discardBody.js';
 export { endToEndHeaders, listHeaders } from './headerFields.js';
 export { default as OrderWindow, shareOfDeposits } from './OrderWindow.js';
 export { default as refuseMalformed } from './refuseMalformed.js';
