Move attempt logging and fetching of peers' state into files of their own

Cause: RequestExecution.ts and StateFollower.ts were the largest files of the gateway and did two jobs each. Change: AttemptLog and PeerStateFetcher; behaviour and log lines stay.

--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -4,6 +4,7 @@
  */
 import type { Counters, Logger } from '@cactusrun/core';
 import type { CrashTracker } from '@cactusrun/requests';
+import AttemptLog from './AttemptLog.js';
 import type { CallerExchange, CallerOutcome } from '../callers/CallerExchange.js';
 import { refuse } from '../callers/CallerExchange.js';
 import type { GatewayRoute } from '../state/GatewayConfiguration.js';
@@ -69,6 +70,8 @@
 
   private lastReason: RefusalReason = 'no-target';
 
+  private readonly log: AttemptLog;
+
   private readonly resultHandlers: ResultHandlers = {
     answered: ({ answer }) => this.handleAnswer(answer),
     'not-run': () => {
@@ -98,7 +101,9 @@
   constructor(
     private readonly parts: RequestExecutionParts,
     private readonly plan: ExecutionPlan,
-  ) {}
+  ) {
+    this.log = new AttemptLog(parts, plan.exchange.id, plan.service);
+  }
 
   /** Attempts the request until there is an outcome for its caller. */
   public async execute(): Promise<CallerOutcome> {
@@ -112,7 +117,7 @@
     if (remaining < MINIMUM_REMAINING_MILLISECONDS) return this.conclude('too-late');
     const picked = this.pick();
     if (picked.kind !== 'picked') {
-      this.logUnplaced(picked, remaining);
+      this.log.recordUnplaced(picked, remaining, this.excluded.size);
       return this.conclude(picked.kind === 'full' ? 'overloaded' : this.lastReason);
     }
     if (this.failedAttempts > 0 && !this.withdrawRetry()) return this.conclude(this.lastReason);
@@ -183,7 +188,7 @@
   private async settle(attempt: RunningAttempt): Promise<Step> {
     const result = await attempt.result;
     this.attemptsInProgress -= 1;
-    if (!isSuccessful(result)) this.logFailure(attempt, result);
+    if (!isSuccessful(result)) this.log.recordFailure(attempt, result);
     const handle = this.resultHandlers[result.kind] as (
       result: AttemptResult,
       target: string,
@@ -245,37 +250,4 @@
   private conclude(reason: RefusalReason): Step {
     return { kind: 'done', outcome: this.failure ?? refuse(reason) };
   }
-
-  private logUnplaced(picked: Exclude<PickResult, { kind: 'picked' }>, remaining: number): void {
-    this.parts.logger.info('request-unplaced', {
-      request: this.plan.exchange.id,
-      service: this.plan.service,
-      outcome: picked.kind,
-      remainingMilliseconds: Math.round(remaining),
-      expectedMilliseconds:
-        'expectedMilliseconds' in picked ? Math.round(picked.expectedMilliseconds) : undefined,
-      targetsExcluded: this.excluded.size,
-    });
-  }
-
-  private logFailure(attempt: RunningAttempt, result: AttemptResult): void {
-    const { counters, logger } = this.parts;
-    const { target, failureProbability, requestsThere, expectedMilliseconds, due } = attempt.pick;
-    counters.add('call_failures', result.kind);
-    logger.info('call-failed', {
-      request: this.plan.exchange.id,
-      target: target.entry.id,
-      service: this.plan.service,
-      result: result.kind,
-      detail: 'detail' in result ? result.detail : undefined,
-      status: result.kind === 'answered' ? result.answer.status : undefined,
-      failureProbability: Math.round(failureProbability * 100) / 100,
-      requestsThere: Math.round(requestsThere),
-      expectedMilliseconds: Math.round(expectedMilliseconds),
-      due,
-      targetSeenMilliseconds: Math.round(
-        this.parts.clock.now() - target.healthEstimate.lastObservedAt,
-      ),
-    });
-  }
 }
--- a/packages/gateway/src/state/StateFollower.ts
+++ b/packages/gateway/src/state/StateFollower.ts
@@ -3,14 +3,13 @@
  * region reads the store and announces updates to the others; each of them reads by itself when no
  * update has arrived for a while, one after another in order of rank.
  */
-import type { Clock, Logger, Random, Stop } from '@cactusrun/core';
+import type { Clock, Random, Stop } from '@cactusrun/core';
 import { describeError, mergeStops, pickOne, repeatUntilAborted, startTask } from '@cactusrun/core';
-import type FleetMembers from '../fleet/FleetMembers.js';
-import type GatewayState from './GatewayState.js';
-import type { StateSnapshot } from './GatewayState.js';
 import type { GatewayStore, StorePosition, TargetPage } from './GatewayStore.js';
 import type { PeerSender } from '../fleet/PeerLink.js';
 import type { KnownVersions, PeerMessage } from '../fleet/PeerMessage.js';
+import type { PeerStateFetcherParts } from './PeerStateFetcher.js';
+import PeerStateFetcher from './PeerStateFetcher.js';
 import type { TargetChange } from './TargetEntry.js';
 
 /** Pause between two reads of the registry, well under the time in which drains must be known. */
@@ -34,8 +33,6 @@
 const REREGISTRATION_MILLISECONDS = 2_000;
 /** State this old means that the store was unavailable: removals may be expired entries. */
 const OUTAGE_AGE_MILLISECONDS = 3_500;
-/** Peers whose state is fetched concurrently. */
-const MAXIMUM_FETCHES = 3;
 /** While the store does not answer, state is fetched from one of this many most recent peers. */
 const RECENT_PEERS = 24;
 /** Time for peers to provide a newer configuration, after which the store is read. */
@@ -44,15 +41,11 @@
 /** Time over which the first reads are spread when the whole fleet starts. */
 const FIRST_READ_SPREAD_MILLISECONDS = 1_500;
 
-export interface StateFollowerParts {
+export interface StateFollowerParts extends PeerStateFetcherParts {
   readonly store: GatewayStore;
-  readonly state: GatewayState;
-  readonly members: FleetMembers;
   readonly link: PeerSender;
-  readonly fetchState: (address: string, signal: AbortSignal) => Promise<StateSnapshot>;
   readonly clock: Clock;
   readonly random: Random;
-  readonly logger: Logger;
   readonly selfName: string;
   /** Whether the whole fleet starts now: first reads are spread, so that peers serve most daemons. */
   readonly isFleetStart: boolean;
@@ -66,7 +59,7 @@
   /** Monotonic time of the newest store read that another daemon announced. */
   private peerReadAt = Number.NEGATIVE_INFINITY;
 
-  private readonly fetching = new Set<string>();
+  private readonly fetcher: PeerStateFetcher;
 
   /** Monotonic time since which a peer is known to have a newer configuration. */
   private behindSince: number | undefined;
@@ -79,7 +72,9 @@
   /** Monotonic time until which the first read waits for updates from peers. */
   private firstReadAt = 0;
 
-  constructor(private readonly parts: StateFollowerParts) {}
+  constructor(private readonly parts: StateFollowerParts) {
+    this.fetcher = new PeerStateFetcher(parts);
+  }
 
   public start(): Stop {
     const { logger, clock, random, isFleetStart } = this.parts;
@@ -123,24 +118,7 @@
 
   /** Fetches the whole state of a peer; a failure is logged. */
   public async fetchFrom(address: string): Promise<boolean> {
-    if (this.fetching.has(address) || this.fetching.size >= MAXIMUM_FETCHES) return false;
-    this.fetching.add(address);
-    const { state, members, logger, fetchState } = this.parts;
-    try {
-      const snapshot = await fetchState(address, new AbortController().signal);
-      if (snapshot.document !== undefined) state.applyDocument(snapshot.document, address);
-      if (snapshot.versions.targets >= 0) {
-        state.replaceTargets(snapshot.targets, snapshot.versions.targets, address);
-        state.confirm(snapshot.versions.ageMilliseconds);
-      }
-      members.addAddresses(snapshot.peers);
-      return true;
-    } catch (error) {
-      logger.warn('peer-state-not-fetched', { peer: address, cause: describeError(error) });
-      return false;
-    } finally {
-      this.fetching.delete(address);
-    }
+    return this.fetcher.fetchFrom(address);
   }
 
   /** Whether this daemon reads the store: it is the first of its region, or updates are missing. */
