--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -195,6 +195,7 @@
       receivedAt,
       signal: pending.signal,
       isFollowed: () => connection.isFollowed(pending),
+      isDraining: () => this.isDraining,
     };
   }
 
