Revert the wait for the retry budget: it serves nobody more

The retries that the budget allows are the same in number; those who wait take them from those who come later.

--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -20,8 +20,6 @@
    * connection would cut off.
    */
   readonly isFollowed: () => boolean;
-  /** Whether the daemon is shutting down, so that the request should not be delayed. */
-  readonly isDraining: () => boolean;
 }
 
 export type CallerOutcome =
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -195,7 +195,6 @@
       receivedAt,
       signal: pending.signal,
       isFollowed: () => connection.isFollowed(pending),
-      isDraining: () => this.isDraining,
     };
   }
 
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -21,14 +21,6 @@
 /** Remaining time below which no further attempt is made. */
 const MINIMUM_REMAINING_MILLISECONDS = 30;
 const REDIRECT_STATUS = 300;
-/**
- * Share of the remaining time for which a request that targets refused waits for the retry budget.
- * The rest is left to its caller, who may try elsewhere after the refusal.
- */
-const BUDGET_WAIT_SHARE = 0.5;
-/** First pause of that wait, doubled up to the longest. */
-const FIRST_BUDGET_PAUSE_MILLISECONDS = 150;
-const LONGEST_BUDGET_PAUSE_MILLISECONDS = 600;
 
 export interface RequestExecutionParts extends AttemptParts {
   readonly picker: TargetPicker;
@@ -48,8 +40,6 @@
   readonly deadline: number;
 }
 
-type RetryDecision = 'sent-again' | 'budget-spent' | 'attempts-used';
-
 type Step = { readonly kind: 'done'; readonly outcome: CallerOutcome } | { readonly kind: 'again' };
 
 const RETRY: Step = { kind: 'again' };
@@ -80,11 +70,6 @@
 
   private lastReason: RefusalReason = 'no-target';
 
-  /** Monotonic time until which the request waits for the retry budget; set when it first does. */
-  private budgetWaitEnd: number | undefined;
-
-  private budgetPause = FIRST_BUDGET_PAUSE_MILLISECONDS;
-
   private readonly log: AttemptLog;
 
   private readonly resultHandlers: ResultHandlers = {
@@ -135,27 +120,8 @@
       this.log.recordUnplaced(picked, remaining, this.excluded.size);
       return this.conclude(picked.kind === 'full' ? 'overloaded' : this.lastReason);
     }
-    if (this.failedAttempts === 0) return this.send(picked.pick);
-    const decision = this.withdrawRetry();
-    if (decision === 'sent-again') return this.send(picked.pick);
-    return decision === 'budget-spent' ? this.awaitBudget() : this.conclude(this.lastReason);
-  }
-
-  /**
-   * Pauses a request that certainly was not run until the retry budget may have grown: while targets
-   * refuse many requests for some seconds, most of them still have the time to be served after it.
-   */
-  private async awaitBudget(): Promise<Step> {
-    const { clock } = this.parts;
-    const now = clock.now();
-    this.budgetWaitEnd ??= now + BUDGET_WAIT_SHARE * (this.plan.deadline - now);
-    const mayWait = this.failure === undefined && !this.plan.exchange.isDraining();
-    if (!mayWait || now + this.budgetPause > this.budgetWaitEnd) {
-      return this.conclude(this.lastReason);
-    }
-    await clock.sleep(this.budgetPause, this.plan.exchange.signal);
-    this.budgetPause = Math.min(LONGEST_BUDGET_PAUSE_MILLISECONDS, 2 * this.budgetPause);
-    return RETRY;
+    if (this.failedAttempts > 0 && !this.withdrawRetry()) return this.conclude(this.lastReason);
+    return this.send(picked.pick);
   }
 
   private pick(): PickResult {
@@ -170,20 +136,17 @@
     });
   }
 
-  private withdrawRetry(): RetryDecision {
-    const { counters, logger } = this.parts;
+  private withdrawRetry(): boolean {
+    const { counters, logger, retryBudgetShares } = this.parts;
     const { exchange, route, service } = this.plan;
     const attempts = this.failedAttempts + this.attemptsInProgress;
-    const outcome = this.decideRetry(attempts < route.maximumAttempts);
+    const isWithinLimit = attempts < route.maximumAttempts;
+    const isGranted = isWithinLimit && retryBudgetShares.shareOf(service).withdraw();
+    const denial = isWithinLimit ? 'budget-spent' : 'attempts-used';
+    const outcome = isGranted ? 'sent-again' : denial;
     counters.add('retries', outcome);
     logger.info('request-retry', { request: exchange.id, service, attempts, outcome });
-    return outcome;
-  }
-
-  private decideRetry(isWithinLimit: boolean): RetryDecision {
-    if (!isWithinLimit) return 'attempts-used';
-    const { retryBudgetShares } = this.parts;
-    return retryBudgetShares.shareOf(this.plan.service).withdraw() ? 'sent-again' : 'budget-spent';
+    return isGranted;
   }
 
   /** Sends to the picked target; an idempotent request that stalls there is hedged on a second one. */
@@ -217,7 +180,7 @@
   private hedge(): RunningAttempt | undefined {
     if (this.plan.route.kind !== 'idempotent') return undefined;
     const picked = this.pick();
-    if (picked.kind !== 'picked' || this.withdrawRetry() !== 'sent-again') return undefined;
+    if (picked.kind !== 'picked' || !this.withdrawRetry()) return undefined;
     this.parts.counters.add('retries', 'hedged');
     return this.start(picked.pick);
   }
