--- a/packages/daemon/src/__tests__/unit/endlessAnswers.test.ts
+++ b/packages/daemon/src/__tests__/unit/endlessAnswers.test.ts
@@ -1,9 +1,8 @@
-import type { Server, Socket } from 'node:net';
-import { createServer } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { Target } from '@cactusrun/core';
 import { systemClock } from '@cactusrun/core';
 import type { Attempt, TargetResult } from '@cactusrun/requests';
+import { ENDLESS_WRITERS, ScriptedTarget } from '@cactusrun/stand-ins';
 import HttpTargetConnector from '../../HttpTargetConnector.js';
 
 const HOST = '127.0.77.7';
@@ -26,58 +25,22 @@
 
 /** A target in trouble may send bytes that are no answer, or an answer without end. */
 describe('HttpTargetConnector and answers without end', () => {
-  let server: Server;
-  let sockets: Socket[];
+  let server: ScriptedTarget;
   let connector: HttpTargetConnector;
-  let script: (socket: Socket) => void;
 
   beforeEach(async () => {
-    sockets = [];
     connector = new HttpTargetConnector(systemClock, () => 4);
-    server = createServer((socket) => {
-      sockets.push(socket);
-      socket.on('error', () => {});
-      socket.once('data', () => script(socket));
-    });
-    await new Promise<void>((resolve) => {
-      server.listen(0, HOST, resolve);
-    });
+    server = new ScriptedTarget();
+    await server.start(HOST);
   });
 
   afterEach(async () => {
     connector.close();
-    sockets.forEach((socket) => socket.destroy());
-    await new Promise<void>((resolve) => {
-      server.close(() => resolve());
-    });
+    await server.stop();
   });
 
-  function writeForever(socket: Socket, text: string): void {
-    const write = () => {
-      if (socket.destroyed) return;
-      if (socket.write(text)) setImmediate(write);
-      else socket.once('drain', write);
-    };
-    write();
-  }
-
-  function writeSlowly(socket: Socket, text: string): void {
-    let position = 0;
-    const timer = setInterval(() => {
-      if (socket.destroyed) clearInterval(timer);
-      else socket.write(text[position % text.length] ?? '');
-      position += 1;
-    }, 5);
-  }
-
-  const writers: Readonly<Record<string, (socket: Socket, text: string) => void>> = {
-    'at full speed': writeForever,
-    'a byte at a time': writeSlowly,
-  };
-
   function send(signal: AbortSignal): Promise<TargetResult> {
-    const { port } = server.address() as { port: number };
-    const target = { address: `${HOST}:${port}` } as Target;
+    const target = { address: server.address } as Target;
     const attempt = {
       service: 's',
       method: 'GET',
@@ -102,31 +65,31 @@
   }
 
   Object.entries(ENDLESS).forEach(([place, [prefix, text]]) => {
-    Object.entries(writers).forEach(([pace, write]) => {
+    Object.entries(ENDLESS_WRITERS).forEach(([pace, write]) => {
       it(`${place}, ${pace}, end when the request is aborted and are no whole answer`, async () => {
-        script = (socket) => {
+        server.follow((socket) => {
           socket.write(prefix);
           write(socket, text);
-        };
+        });
         const controller = new AbortController();
         const ending = send(controller.signal).then(isWhole);
         await systemClock.sleep(ARRIVAL_MILLISECONDS);
         controller.abort();
         expect(await ending).toBe(false);
         await systemClock.sleep(30);
-        expect(sockets[0]?.destroyed).toBe(true);
+        expect(server.sockets[0]?.destroyed).toBe(true);
       });
     });
   });
 
   it('behind a refusal leave the request not run and close the connection', async () => {
-    script = (socket) => {
+    server.follow((socket) => {
       socket.write('HTTP/1.1 503 No\r\nUpstream-State: shed\r\n\r\n');
-      writeForever(socket, CHUNK);
-    };
+      ENDLESS_WRITERS['at full speed'](socket, CHUNK);
+    });
     const result = await send(new AbortController().signal);
     expect(result).toEqual({ kind: 'shed', isLeaving: false });
     await systemClock.sleep(200);
-    expect(sockets[0]?.destroyed).toBe(true);
+    expect(server.sockets[0]?.destroyed).toBe(true);
   });
 });
--- a/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
@@ -1,8 +1,8 @@
-import type { Server, Socket } from 'node:net';
-import { createServer } from 'node:net';
+import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
 import type { Clock } from '@cactusrun/core';
 import { Counters, ManualClock, systemClock } from '@cactusrun/core';
+import { ENDLESS_WRITERS, ScriptedTarget } from '@cactusrun/stand-ins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import AnswerCutError from '../../connections/AnswerCutError.js';
 import IdleReuse from '../../connections/IdleReuse.js';
@@ -26,35 +26,25 @@
 
 /** A target in trouble may send bytes that are no answer, or an answer without end. */
 describe('TargetExchange', () => {
-  let server: Server;
+  let server: ScriptedTarget;
   let connections: TargetConnections;
-  let sockets: Socket[];
   let script: Script;
   let clock: Clock;
   let nextId = 0;
 
   beforeEach(async () => {
-    sockets = [];
     useClock(systemClock);
-    server = createServer((socket) => {
-      sockets.push(socket);
-      socket.on('error', () => {});
-      socket.on('data', (bytes) => {
-        const attempt = /X-Attempt: (\S+)/.exec(bytes.toString())?.[1];
-        if (attempt !== undefined) script(socket, attempt);
-      });
-    });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
+    server = new ScriptedTarget();
+    server.follow((socket, received) => {
+      const attempt = /X-Attempt: (\S+)/.exec(received)?.[1];
+      if (attempt !== undefined) script(socket, attempt);
     });
+    await server.start('127.0.0.1');
   });
 
   afterEach(async () => {
     connections.close();
-    sockets.forEach((socket) => socket.destroy());
-    await new Promise<void>((resolve) => {
-      server.close(() => resolve());
-    });
+    await server.stop();
   });
 
   function useClock(chosen: Clock): void {
@@ -63,11 +53,10 @@
   }
 
   function send(signal = new AbortController().signal): Promise<AttemptResult> {
-    const { port } = server.address() as { port: number };
     nextId += 1;
     const target = {
       id: 'target-1',
-      address: `127.0.0.1:${port}`,
+      address: server.address,
       service: 's',
       zone: 'z',
       slots: 2,
@@ -93,31 +82,6 @@
     return `HTTP/1.1 ${status}\r\nX-Attempt: ${attempt}\r\nX-Signature: s\r\n${fields}\r\n`;
   }
 
-  /** Writes as fast as the connection takes it, until it is closed. */
-  function writeForever(socket: Socket, text: string): void {
-    const write = () => {
-      if (socket.destroyed) return;
-      if (socket.write(text)) setImmediate(write);
-      else socket.once('drain', write);
-    };
-    write();
-  }
-
-  /** Writes the text again and again, one byte every few milliseconds. */
-  function writeSlowly(socket: Socket, text: string): void {
-    let position = 0;
-    const timer = setInterval(() => {
-      if (socket.destroyed) clearInterval(timer);
-      else socket.write(text[position % text.length] ?? '');
-      position += 1;
-    }, 5);
-  }
-
-  const writers: Readonly<Record<string, (socket: Socket, text: string) => void>> = {
-    'at full speed': writeForever,
-    'a byte at a time': writeSlowly,
-  };
-
   interface Delivery {
     readonly result: AttemptResult;
     readonly bytes: number;
@@ -176,7 +140,7 @@
 
   describe('bytes without end', () => {
     Object.entries(endless).forEach(([place, [prefix, text]]) => {
-      Object.entries(writers).forEach(([pace, write]) => {
+      Object.entries(ENDLESS_WRITERS).forEach(([pace, write]) => {
         it(`${place}, ${pace}, end at the deadline and are no whole answer`, async () => {
           script = (socket, attempt) => {
             socket.write(prefix(attempt));
@@ -190,7 +154,7 @@
           const delivery = await ending;
           expect(delivery.isWhole).toBe(false);
           await systemClock.sleep(30);
-          expect(sockets[0]?.destroyed).toBe(true);
+          expect(server.sockets[0]?.destroyed).toBe(true);
         });
       });
     });
@@ -198,7 +162,7 @@
     it('in a large body count as a failure of the target', async () => {
       script = (socket, attempt) => {
         socket.write(head(attempt, ''));
-        writeForever(socket, CHUNK);
+        ENDLESS_WRITERS['at full speed'](socket, CHUNK);
       };
       const { error } = await deliver();
       expect(error instanceof AnswerCutError && error.isTargetFailure).toBe(true);
@@ -207,38 +171,38 @@
     it('in a large body end at once when the caller disconnects', async () => {
       script = (socket, attempt) => {
         socket.write(head(attempt, ''));
-        writeForever(socket, CHUNK);
+        ENDLESS_WRITERS['at full speed'](socket, CHUNK);
       };
       const controller = new AbortController();
       const result = await send(controller.signal);
       expect(result.kind).toBe('answered');
       controller.abort();
       await systemClock.sleep(50);
-      expect(sockets[0]?.destroyed).toBe(true);
+      expect(server.sockets[0]?.destroyed).toBe(true);
     });
 
     it('behind a refusal leave the request not run and close the connection', async () => {
       script = (socket, attempt) => {
         socket.write(head(attempt, 'X-Not-Run: 1\r\n', '503 Full'));
-        writeForever(socket, CHUNK);
+        ENDLESS_WRITERS['at full speed'](socket, CHUNK);
       };
       expect(await send()).toEqual({ kind: 'not-run', reason: 'full' });
       await systemClock.sleep(100);
-      expect(sockets[0]?.destroyed).toBe(true);
+      expect(server.sockets[0]?.destroyed).toBe(true);
     });
 
     it('after a whole answer close the connection and reach no other request', async () => {
       script = (socket, attempt) => {
         socket.write(`${head(attempt, 'content-length: 2\r\n')}ok`);
-        setTimeout(() => writeForever(socket, CHUNK), 10);
+        setTimeout(() => ENDLESS_WRITERS['at full speed'](socket, CHUNK), 10);
       };
       const first = await send();
       expect(first.kind === 'answered' && first.answer.bodyStart.toString()).toBe('ok');
       await systemClock.sleep(60);
-      expect(sockets[0]?.destroyed).toBe(true);
+      expect(server.sockets[0]?.destroyed).toBe(true);
       const second = await send();
       expect(second.kind === 'answered' && second.answer.bodyStart.toString()).toBe('ok');
-      expect(sockets).toHaveLength(2);
+      expect(server.sockets).toHaveLength(2);
     });
   });
 
@@ -308,7 +272,7 @@
         expect((await send()).kind).toBe('answered');
         await systemClock.sleep(10);
         expect((await send()).kind).toBe('broken');
-        expect(sockets).toHaveLength(1);
+        expect(server.sockets).toHaveLength(1);
       });
     });
   });
