--- a/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
+++ b/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
@@ -20,7 +20,7 @@
   };
 }
 
-const NOTHING_RELIED_ON: ReadonlyMap<string, number> = new Map();
+const NO_CRITICAL_MEMBERS: ReadonlyMap<string, number> = new Map();
 
 describe('FleetMembers', () => {
   let clock: ManualClock;
@@ -36,8 +36,8 @@
     members = new FleetMembers(self, clock, silentLogger, (name) => removed.push(name));
   });
 
-  /** Members that are relied on from the start of the test. */
-  function reliedOn(...names: readonly string[]): ReadonlyMap<string, number> {
+  /** Members that are critical from the start of the test. */
+  function criticalFromStart(...names: readonly string[]): ReadonlyMap<string, number> {
     return new Map(names.map((name) => [name, 0]));
   }
 
@@ -48,12 +48,12 @@
       await clock.advance(3 * HEARTBEAT_INTERVAL_MILLISECONDS);
       expect(members.applyHeartbeat(heartbeatOf('a', 1))).toBe(true);
       await clock.advance(2 * HEARTBEAT_INTERVAL_MILLISECONDS);
-      members.expire(reliedOn('a', 'b'));
+      members.expire(criticalFromStart('a', 'b'));
       expect(members.liveAddresses()).toEqual(['a:1']);
       expect(removed).toEqual(['b']);
     });
 
-    it('gives a member time from when it is relied on', async () => {
+    it('gives a member time from when it becomes critical', async () => {
       members.applyDescription(createPeerDescription('a'));
       await clock.advance(10 * HEARTBEAT_INTERVAL_MILLISECONDS);
       const since = clock.now();
@@ -76,17 +76,17 @@
         heartbeatOf('a', 1, { pauseMilliseconds: 4 * HEARTBEAT_INTERVAL_MILLISECONDS }),
       );
       await clock.advance(12 * HEARTBEAT_INTERVAL_MILLISECONDS);
-      members.expire(NOTHING_RELIED_ON);
+      members.expire(NO_CRITICAL_MEMBERS);
       expect(members.liveAddresses()).toEqual(['a:1']);
       await clock.advance(5 * HEARTBEAT_INTERVAL_MILLISECONDS);
-      members.expire(NOTHING_RELIED_ON);
+      members.expire(NO_CRITICAL_MEMBERS);
       expect(removed).toEqual(['a']);
     });
 
     it('has a longer initial timeout for a member of another zone', async () => {
       members.applyDescription(createPeerDescription('a', { zone: 'other' }));
       await clock.advance(6 * HEARTBEAT_INTERVAL_MILLISECONDS);
-      members.expire(NOTHING_RELIED_ON);
+      members.expire(NO_CRITICAL_MEMBERS);
       expect(members.liveAddresses()).toEqual(['a:1']);
     });
 
@@ -116,7 +116,7 @@
       members.applyDescription(createPeerDescription('far', { region: 'other' }));
       await clock.advance(10 * HEARTBEAT_INTERVAL_MILLISECONDS);
       members.applyDescription(createPeerDescription('b'));
-      members.expire(reliedOn('a', 'b'));
+      members.expire(criticalFromStart('a', 'b'));
       expect(members.silentAddresses()).toEqual(['a:1']);
     });
 
@@ -187,7 +187,7 @@
       await clock.advance(3 * HEARTBEAT_INTERVAL_MILLISECONDS);
       members.applyHeartbeat(heartbeatOf('b', 1));
       await clock.advance(2 * HEARTBEAT_INTERVAL_MILLISECONDS);
-      members.expire(reliedOn('b', 'c'));
+      members.expire(criticalFromStart('b', 'c'));
       expect(directory.addressesFor('z')).toEqual(['b:2']);
     });
 
@@ -203,10 +203,10 @@
       const names = Array.from({ length: 12 }, (_, index) => `d${index}`);
       names.forEach((name) => members.applyDescription(createPeerDescription(name)));
       members.applyDescription(createPeerDescription('far', { zone: 'other' }));
-      const relied = [...directory.reliedMembers().keys()];
-      expect(relied).toHaveLength(6);
-      expect(relied).not.toContain('far');
-      expect(directory.isRelied()).toBe(relied.includes('m'));
+      const critical = [...directory.criticalMembers().keys()];
+      expect(critical).toHaveLength(6);
+      expect(critical).not.toContain('far');
+      expect(directory.isCritical()).toBe(critical.includes('m'));
     });
 
     it('includes active daemons that are not selected as entries', async () => {
--- a/packages/gateway/src/__tests__/unit/HeartbeatSchedule.test.ts
+++ b/packages/gateway/src/__tests__/unit/HeartbeatSchedule.test.ts
@@ -46,7 +46,7 @@
 
   /** The daemon of a zone that serves no callers and would not be one of the next. */
   function createOther(region: readonly PeerDescription[]): Daemon {
-    const self = region.find((one) => !createDaemon(one, region).directory.isRelied());
+    const self = region.find((one) => !createDaemon(one, region).directory.isCritical());
     return createDaemon(self!, region);
   }
 
--- a/packages/gateway/src/fleet/EntryDirectory.ts
+++ b/packages/gateway/src/fleet/EntryDirectory.ts
@@ -25,10 +25,10 @@
 
   private isOwnEntry = false;
 
-  private isOwnRelied = false;
+  private isOwnCritical = false;
 
   /** Monotonic time since which each member is an entry or a standby whose failure matters here. */
-  private reliedSince: ReadonlyMap<string, number> = new Map();
+  private criticalSince: ReadonlyMap<string, number> = new Map();
 
   private refreshedAt = Number.NEGATIVE_INFINITY;
 
@@ -50,18 +50,18 @@
   }
 
   /** Whether this daemon is an entry or would be one of the next. */
-  public isRelied(): boolean {
+  public isCritical(): boolean {
     this.refresh();
-    return this.isOwnRelied;
+    return this.isOwnCritical;
   }
 
   /**
    * The members that must be known to be alive, with the monotonic time since which they are: the
    * entries and standbys of the own zone and, for an entry, the entries of the region.
    */
-  public reliedMembers(): ReadonlyMap<string, number> {
+  public criticalMembers(): ReadonlyMap<string, number> {
     this.refresh();
-    return this.reliedSince;
+    return this.criticalSince;
   }
 
   private refresh(): void {
@@ -74,15 +74,15 @@
       this.selectEntries(ready.filter((member) => member.zone === zone)),
     );
     const near = this.rankMembers(ready.filter(({ zone }) => zone === self!.zone));
-    const relied = near.slice(0, ENTRIES_PER_ZONE + STANDBYS_PER_ZONE);
+    const critical = near.slice(0, ENTRIES_PER_ZONE + STANDBYS_PER_ZONE);
     const active = others.filter(({ name }) => this.members.isActive(name));
     const serving = [...entries, ...active].map(({ address }) => address);
     this.entries = [...new Set(serving)].filter((address) => address !== self?.address);
     this.isOwnEntry = serving.includes(self!.address);
-    this.isOwnRelied = this.isOwnEntry || relied.includes(self!);
-    const important = this.isOwnEntry ? [...relied, ...entries] : relied;
-    this.reliedSince = new Map(
-      important.map(({ name }) => [name, this.reliedSince.get(name) ?? now]),
+    this.isOwnCritical = this.isOwnEntry || critical.includes(self!);
+    const important = this.isOwnEntry ? [...critical, ...entries] : critical;
+    this.criticalSince = new Map(
+      important.map(({ name }) => [name, this.criticalSince.get(name) ?? now]),
     );
     this.refreshedAt = now;
   }
--- a/packages/gateway/src/fleet/FleetMembers.ts
+++ b/packages/gateway/src/fleet/FleetMembers.ts
@@ -10,7 +10,7 @@
 /** Interval of the heartbeats of a daemon that callers are directed to, or would be next. */
 export const HEARTBEAT_INTERVAL_MILLISECONDS = 600;
 /** Timeout for a member whose heartbeats are expected at this interval. */
-const RELIED_TIMEOUT_MILLISECONDS = MISSED_HEARTBEATS * HEARTBEAT_INTERVAL_MILLISECONDS;
+const CRITICAL_TIMEOUT_MILLISECONDS = MISSED_HEARTBEATS * HEARTBEAT_INTERVAL_MILLISECONDS;
 /** Timeouts until a heartbeat states its interval, for members of the own zone and of others. */
 const ZONE_TIMEOUT_MILLISECONDS = 10_000;
 const REMOTE_TIMEOUT_MILLISECONDS = 60_000;
@@ -158,15 +158,15 @@
   /**
    * Removes members whose heartbeats have timed out.
    *
-   * @param reliedSince - monotonic times since which members are expected to send heartbeats often
+   * @param criticalSince - monotonic times since which members are expected to send heartbeats often
    */
-  public expire(reliedSince: ReadonlyMap<string, number>): void {
+  public expire(criticalSince: ReadonlyMap<string, number>): void {
     const now = this.clock.now();
     const hasTimedOut = ({ description, lastSeenAt, timeoutMilliseconds }: Member) => {
       if (now - lastSeenAt > timeoutMilliseconds) return true;
-      const since = reliedSince.get(description.name);
+      const since = criticalSince.get(description.name);
       if (since === undefined) return false;
-      return now - Math.max(since, lastSeenAt) > RELIED_TIMEOUT_MILLISECONDS;
+      return now - Math.max(since, lastSeenAt) > CRITICAL_TIMEOUT_MILLISECONDS;
     };
     [...this.members.values()].filter(hasTimedOut).forEach(({ description, lastSeenAt }) => {
       this.members.delete(description.name);
--- a/packages/gateway/src/fleet/Heartbeat.ts
+++ b/packages/gateway/src/fleet/Heartbeat.ts
@@ -23,7 +23,7 @@
 const GOSSIP_HEARTBEATS = 8;
 const GOSSIP_PEERS = 2;
 const GOSSIP_ADDRESSES = 32;
-/** A member that is relied on is probed when it has been silent for this long. */
+/** A critical member is probed when it has been silent for this long. */
 const PROBE_AFTER_MILLISECONDS = 2 * HEARTBEAT_INTERVAL_MILLISECONDS;
 
 type HeartbeatMessage = Extract<PeerMessage, { kind: 'beat' }>;
@@ -54,7 +54,7 @@
 
   public async step(signal: AbortSignal): Promise<void> {
     const { members, directory, clock } = this.parts;
-    members.expire(directory.reliedMembers());
+    members.expire(directory.criticalMembers());
     const isAlone = members.live().length === 0;
     this.introduce(isAlone);
     this.gossip();
@@ -84,11 +84,11 @@
     link.send(recipients, { kind: 'peers', sender: name, peers });
   }
 
-  /** Asks members that are relied on and silent: they may not know that they are relied on. */
+  /** Probes critical members that are silent: they may not know that they are critical. */
   private probe(): void {
     const { members, directory, link, clock, createHello } = this.parts;
     const now = clock.now();
-    const silent = [...directory.reliedMembers().keys()].flatMap((name) => {
+    const silent = [...directory.criticalMembers().keys()].flatMap((name) => {
       const member = members.get(name);
       const isSilent = member !== undefined && now - member.lastSeenAt > PROBE_AFTER_MILLISECONDS;
       return isSilent ? [member.description.address] : [];
--- a/packages/gateway/src/fleet/HeartbeatSchedule.ts
+++ b/packages/gateway/src/fleet/HeartbeatSchedule.ts
@@ -47,7 +47,7 @@
     const hasBecomeEntry = isEntry && !this.wasEntry;
     this.wasEntry = isEntry;
     return [
-      directory.isRelied()
+      directory.isCritical()
         ? { addresses: zone, pauseMilliseconds: HEARTBEAT_INTERVAL_MILLISECONDS, isFull: true }
         : takeTurn(zone, round, ZONE_RECIPIENTS_PER_ROUND, 1),
       {
