--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import IdleReuse, { RECENT_USE_MILLISECONDS } from '../../connections/IdleReuse.js';
 import type { AttemptResult, OutgoingRequest } from '../../connections/TargetAttempt.js';
+import { connectToTarget } from '../../connections/connectToTarget.js';
 import TargetConnections from '../../connections/TargetConnections.js';
 import type { TargetEntry } from '../../state/TargetEntry.js';
 import createTargetEntry from './createTargetEntry.js';
@@ -38,7 +39,13 @@
     sockets = [];
     requests = [];
     idleReuse = new IdleReuse(systemClock);
-    connections = new TargetConnections(NAMES, idleReuse, systemClock, new Counters());
+    connections = new TargetConnections(
+      NAMES,
+      idleReuse,
+      systemClock,
+      new Counters(),
+      connectToTarget,
+    );
     server = createServer((socket) => {
       sockets.push(socket);
       socket.on('error', () => {});
@@ -206,7 +213,7 @@
     beforeEach(() => {
       clock = new ManualClock();
       idleReuse = new IdleReuse(clock);
-      connections = new TargetConnections(NAMES, idleReuse, clock, new Counters());
+      connections = new TargetConnections(NAMES, idleReuse, clock, new Counters(), connectToTarget);
     });
 
     /** Answers on new connections, and resets those that carry a second request. */
--- a/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
@@ -7,6 +7,7 @@
 import AnswerCutError from '../../connections/AnswerCutError.js';
 import IdleReuse from '../../connections/IdleReuse.js';
 import type { AttemptResult } from '../../connections/TargetAttempt.js';
+import { connectToTarget } from '../../connections/connectToTarget.js';
 import TargetConnections from '../../connections/TargetConnections.js';
 import createTargetEntry from './createTargetEntry.js';
 
@@ -51,7 +52,13 @@
 
   function useClock(chosen: Clock): void {
     clock = chosen;
-    connections = new TargetConnections(NAMES, new IdleReuse(clock), clock, new Counters());
+    connections = new TargetConnections(
+      NAMES,
+      new IdleReuse(clock),
+      clock,
+      new Counters(),
+      connectToTarget,
+    );
   }
 
   function send(signal = new AbortController().signal): Promise<AttemptResult> {
--- a/packages/gateway/src/connections/TargetConnections.ts
+++ b/packages/gateway/src/connections/TargetConnections.ts
@@ -1,8 +1,8 @@
 /** Sends requests to targets over reused connections, one request at a time on each. */
 import type { Socket } from 'node:net';
-import { connect } from 'node:net';
 import type { Clock, Counters } from '@cactusrun/core';
 import type { TargetEntry } from '../state/TargetEntry.js';
+import type { ConnectToTarget } from './connectToTarget.js';
 import type { IdleConnection } from './IdleConnections.js';
 import IdleConnections from './IdleConnections.js';
 import type IdleReuse from './IdleReuse.js';
@@ -14,6 +14,7 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 150;
 /** A request that must run once is sent on a connection used this recently, or on a new one. */
 const RUN_ONCE_IDLE_MILLISECONDS = 6_000;
+
 export default class TargetConnections {
   private readonly idle: IdleConnections;
 
@@ -22,6 +23,7 @@
     private readonly idleReuse: IdleReuse,
     private readonly clock: Clock,
     private readonly counters: Counters,
+    private readonly connect: ConnectToTarget,
   ) {
     this.idle = new IdleConnections(clock);
   }
@@ -81,7 +83,7 @@
     const [host, port] = target.address.split(':');
     this.counters.add('target_connections', 'opened');
     return new Promise((resolve) => {
-      const socket = connect({ host: host ?? '', port: Number(port), noDelay: true });
+      const socket = this.connect(host ?? '', Number(port));
       let cancelTimer = () => {};
       const end = (result: Extract<AttemptResult, { kind: 'not-sent' | 'cancelled' }>) => {
         cancelTimer();
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -1,6 +1,7 @@
 /** What the data path needs from the program that embeds it. */
 import type { Clock, Counters, Logger, Random } from '@cactusrun/core';
 import type { CallerFieldNames } from '../callers/CallerServer.js';
+import type { ConnectToTarget } from '../connections/connectToTarget.js';
 import type { GatewayConfiguration } from '../state/GatewayConfiguration.js';
 import type { GatewayStore } from '../state/GatewayStore.js';
 import type { RetryBudgetLimits } from '../execution/RetryBudgetShare.js';
@@ -34,6 +35,7 @@
   readonly callerFields: CallerFieldNames;
   readonly store: GatewayStore;
   readonly decode: (document: string) => GatewayConfiguration;
+  readonly connectToTarget: ConnectToTarget;
   readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -45,7 +45,13 @@
   const targets = new TargetTable(clock, DEFAULT_HEALTH_MODEL_PARAMETERS);
   const outstanding = new OutstandingRequests();
   const idleReuse = new IdleReuse(clock);
-  const connections = new TargetConnections(options.targetFields, idleReuse, clock, counters);
+  const connections = new TargetConnections(
+    options.targetFields,
+    idleReuse,
+    clock,
+    counters,
+    options.connectToTarget,
+  );
   const serviceTimes = new ServiceTimes();
   const failures = new FailureRates(clock);
   const members = new FleetMembers(describeSelf, clock, logger, (name) =>
