Relay requests through a peer while a daemon is cut off from all targets

Requests in the first seconds got 504 at their deadline, later ones 503 after 1.2 s, and callers went on being directed there.

Cause: a daemon took every failure for one of a target. It had no way to a target but its own, tried eight connections of 150 ms, told its peers of targets that were well, and neither the directory nor its heartbeats said that it reached none. Class: a fault of the observer that is put down to what it observes.

Change: TargetReachability decides whether targets or the daemon's own links have failed, by connections to targets of other services and zones. Failures without an answer count only once a target was reached afterwards. While cut off, a daemon relays requests to a peer that callers are directed to (PeerRelay, a second CallerServer at the next internal port), which executes them as its own and never relays again; it tells its peers, and the directory leaves it out until it has reached targets for 2 s.

Why it works: a request needs no target that this daemon reaches, only one that a peer does; "not run" still ends at the first byte written, here to the peer, unless the peer itself says that it did not run. The deadline and the caller's leaving travel with the request, retries and limits are counted by the daemon that sends.

--- a/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
@@ -37,6 +37,7 @@
     isEnded = false;
     wasReset = false;
     server = new CallerServer({
+      isForPeers: false,
       address: `${HOST}:${PORT}`,
       names: { attemptId: 'X-Attempt', deadline: 'X-Deadline', reserved: new Set(['x-attempt']) },
       clock: systemClock,
--- a/packages/gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -41,6 +41,7 @@
     sockets = [];
     handle = async () => createAnswer();
     server = new CallerServer({
+      isForPeers: false,
       address: `${HOST}:${PORT}`,
       names: {
         attemptId: 'X-Attempt',
--- a/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
+++ b/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
@@ -15,6 +15,7 @@
     sender,
     incarnation,
     state: 'ready',
+    isCutOff: false,
     pauseMilliseconds: HEARTBEAT_INTERVAL_MILLISECONDS,
     ...overrides,
   };
--- a/packages/gateway/src/__tests__/unit/Heartbeat.test.ts
+++ b/packages/gateway/src/__tests__/unit/Heartbeat.test.ts
@@ -49,6 +49,7 @@
         sender: name,
         incarnation: 1,
         state: 'ready',
+        isCutOff: false,
         versions: VERSIONS,
         outstanding: {},
         unhealthy: [{ target: 't', ageMilliseconds: 1 }],
--- a/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
@@ -25,6 +25,7 @@
     sender: 'host-1',
     incarnation: 5,
     state: 'leaving',
+    isCutOff: true,
     pauseMilliseconds: 600,
     versions: VERSIONS,
     outstanding: { t: 2 },
--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -4,7 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import IdleReuse, { RECENT_USE_MILLISECONDS } from '../../connections/IdleReuse.js';
 import type { AttemptResult, OutgoingRequest } from '../../connections/TargetAttempt.js';
-import { connectToTarget } from '../../connections/connectToTarget.js';
+import { openConnection } from '../../connections/openConnection.js';
 import TargetConnections from '../../connections/TargetConnections.js';
 import type { TargetEntry } from '../../state/TargetEntry.js';
 import createTargetEntry from './createTargetEntry.js';
@@ -44,7 +44,7 @@
       idleReuse,
       systemClock,
       new Counters(),
-      connectToTarget,
+      openConnection,
     );
     server = createServer((socket) => {
       sockets.push(socket);
@@ -213,7 +213,7 @@
     beforeEach(() => {
       clock = new ManualClock();
       idleReuse = new IdleReuse(clock);
-      connections = new TargetConnections(NAMES, idleReuse, clock, new Counters(), connectToTarget);
+      connections = new TargetConnections(NAMES, idleReuse, clock, new Counters(), openConnection);
     });
 
     /** Answers on new connections, and resets those that carry a second request. */
--- a/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
@@ -7,7 +7,7 @@
 import AnswerCutError from '../../connections/AnswerCutError.js';
 import IdleReuse from '../../connections/IdleReuse.js';
 import type { AttemptResult } from '../../connections/TargetAttempt.js';
-import { connectToTarget } from '../../connections/connectToTarget.js';
+import { openConnection } from '../../connections/openConnection.js';
 import TargetConnections from '../../connections/TargetConnections.js';
 import createTargetEntry from './createTargetEntry.js';
 
@@ -57,7 +57,7 @@
       new IdleReuse(clock),
       clock,
       new Counters(),
-      connectToTarget,
+      openConnection,
     );
   }
 
--- a/packages/gateway/src/callers/AnswerWriter.ts
+++ b/packages/gateway/src/callers/AnswerWriter.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Random } from '@cactusrun/core';
 import type { TargetAnswer } from '../connections/TargetAttempt.js';
+import { isRelayField } from '../relay/RelayField.js';
 import type { RefusalReason } from './Refusal.js';
 import { REFUSAL_RULES } from './Refusal.js';
 
@@ -29,7 +30,7 @@
     const hasKnownLength = bodyRest === undefined && answer.isFramed;
     if (!answer.isFramed) response.useChunkedEncodingByDefault = false;
     response.writeHead(answer.status, [
-      ...answer.fields.flat(),
+      ...answer.fields.filter(([name]) => !isRelayField(name)).flat(),
       ...(hasKnownLength ? ['content-length', String(bodyStart.length)] : []),
       ...(closes ? CLOSE_FIELDS : []),
     ]);
@@ -42,8 +43,18 @@
     bodyRest.pipe(response);
   }
 
-  /** @param closes - whether the connection ends with this answer */
-  public writeRefusal(response: ServerResponse, reason: RefusalReason, closes: boolean): void {
+  /**
+   * Writes a refusal.
+   *
+   * @param closes - whether the connection ends with this answer
+   * @param extraFields - names and values of further header fields, in turn
+   */
+  public writeRefusal(
+    response: ServerResponse,
+    reason: RefusalReason,
+    closes: boolean,
+    extraFields: readonly string[],
+  ): void {
     const rule = REFUSAL_RULES[reason];
     const jitter = 1 + RETRY_AFTER_JITTER * (2 * this.random.unit() - 1);
     const seconds = (rule.retryAfterMilliseconds * jitter) / MILLISECONDS_PER_SECOND;
@@ -54,6 +65,7 @@
       'content-length',
       String(Buffer.byteLength(body)),
       ...(seconds > 0 ? ['retry-after', seconds.toFixed(2)] : []),
+      ...extraFields,
       ...(closes ? CLOSE_FIELDS : []),
     ]);
     response.end(body);
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -1,4 +1,5 @@
 /** A caller's request as the gateway receives it, and the outcome for the caller. */
+import type { RelayStatement } from '../relay/RelayField.js';
 import type { RefusalReason } from './Refusal.js';
 import type { HeaderFields, TargetAnswer } from '../connections/TargetAttempt.js';
 
@@ -13,6 +14,8 @@
   readonly deadlineMilliseconds: number | undefined;
   /** Monotonic time at which the head of the request was read. */
   readonly receivedAt: number;
+  /** Set when a peer, which is cut off from all targets, relays a request of its caller. */
+  readonly relayed: RelayStatement | undefined;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
   /**
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -13,6 +13,7 @@
 import CallerConnection from './CallerConnection.js';
 import type { CallerExchange, CallerOutcome } from './CallerExchange.js';
 import readRequestBody from './readRequestBody.js';
+import { decodeStatement, encodeRefusal, isRelayField } from '../relay/RelayField.js';
 import type { RefusalReason } from './Refusal.js';
 
 /** Limits that apply until there is a configuration. */
@@ -36,6 +37,8 @@
   /** `ip:port` to listen on. */
   readonly address: string;
   readonly names: CallerFieldNames;
+  /** Whether the callers are peers that relay requests of their own callers. */
+  readonly isForPeers: boolean;
   readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
@@ -181,8 +184,9 @@
     receivedAt: number,
     { connection, request: pending }: Incoming,
   ): CallerExchange {
-    const { names } = this.options;
-    const isReserved = (name: string) => name === 'content-length' || names.reserved.has(name);
+    const { names, isForPeers } = this.options;
+    const isReserved = (name: string) =>
+      name === 'content-length' || names.reserved.has(name) || isRelayField(name);
     const deadline = Number(request.headers[names.deadline.toLowerCase()]);
     return {
       id: String(request.headers[names.attemptId.toLowerCase()] ?? ''),
@@ -193,6 +197,7 @@
       body,
       deadlineMilliseconds: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
       receivedAt,
+      relayed: isForPeers ? decodeStatement(request.headers) : undefined,
       signal: pending.signal,
       isFollowed: () => connection.isFollowed(pending),
     };
@@ -231,7 +236,15 @@
   private writeRefusal(incoming: Incoming, reason: RefusalReason): void {
     if (incoming.request.signal.aborted) return;
     this.options.counters.add('refusals', reason);
-    this.writer.writeRefusal(incoming.response, reason, this.closesWith(incoming));
+    const extraFields = this.options.isForPeers ? this.peerFields(incoming, reason) : [];
+    this.writer.writeRefusal(incoming.response, reason, this.closesWith(incoming), extraFields);
+  }
+
+  /** What tells a peer that this daemon refuses the request, rather than a target. */
+  private peerFields({ response }: Incoming, reason: RefusalReason): readonly string[] {
+    const { attemptId } = this.options.names;
+    const id = response.req.headers[attemptId.toLowerCase()];
+    return [...encodeRefusal(reason), attemptId, String(id ?? '')];
   }
 
   private closesWith({ connection, request, response }: Incoming): boolean {
--- a/packages/gateway/src/connections/IdleConnections.ts
+++ b/packages/gateway/src/connections/IdleConnections.ts
@@ -77,10 +77,15 @@
     this.idle.delete(target);
   }
 
+  /** Closes the idle connections to all targets. */
+  public forgetAll(): void {
+    [...this.idle.keys()].forEach((target) => this.forget(target));
+  }
+
   /** Closes every connection, and those that are released later. */
   public close(): void {
     this.isClosed = true;
-    [...this.idle.keys()].forEach((target) => this.forget(target));
+    this.forgetAll();
   }
 }
 
--- a/packages/gateway/src/connections/TargetConnections.ts
+++ b/packages/gateway/src/connections/TargetConnections.ts
@@ -2,7 +2,8 @@
 import type { Socket } from 'node:net';
 import type { Clock, Counters } from '@cactusrun/core';
 import type { TargetEntry } from '../state/TargetEntry.js';
-import type { ConnectToTarget } from './connectToTarget.js';
+import type { OpenConnection } from './openConnection.js';
+import { CONNECT_TIMEOUT_MILLISECONDS } from './openConnection.js';
 import type { IdleConnection } from './IdleConnections.js';
 import IdleConnections from './IdleConnections.js';
 import type IdleReuse from './IdleReuse.js';
@@ -10,11 +11,12 @@
 import type { ExchangeConnection } from './TargetExchange.js';
 import TargetExchange from './TargetExchange.js';
 
-/** Connection timeout: a few round trips, less than the retransmission of a lost packet takes. */
-const CONNECT_TIMEOUT_MILLISECONDS = 150;
 /** A request that must run once is sent on a connection used this recently, or on a new one. */
 const RUN_ONCE_IDLE_MILLISECONDS = 6_000;
 
+/** What is needed to reach a target, or a peer in the place of one. */
+type ConnectionTarget = Pick<TargetEntry, 'id' | 'address'>;
+
 export default class TargetConnections {
   private readonly idle: IdleConnections;
 
@@ -23,14 +25,14 @@
     private readonly idleReuse: IdleReuse,
     private readonly clock: Clock,
     private readonly counters: Counters,
-    private readonly connect: ConnectToTarget,
+    private readonly openConnection: OpenConnection,
   ) {
     this.idle = new IdleConnections(clock);
   }
 
   /** Sends a request once, without retries. The returned promise never rejects. */
   public async send(
-    target: TargetEntry,
+    target: ConnectionTarget,
     request: OutgoingRequest,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
@@ -51,6 +53,11 @@
     return this.exchange(target, request, connection, signal);
   }
 
+  /** Closes the idle connections to all targets. */
+  public forgetAll(): void {
+    this.idle.forgetAll();
+  }
+
   /** Closes the idle connections to a target that was removed or timed out. */
   public forget(target: string): void {
     this.idle.forget(target);
@@ -77,13 +84,12 @@
   }
 
   private open(
-    target: TargetEntry,
+    target: ConnectionTarget,
     signal: AbortSignal,
   ): Promise<Socket | Extract<AttemptResult, { kind: 'not-sent' | 'cancelled' }>> {
     const [host, port] = target.address.split(':');
-    this.counters.add('target_connections', 'opened');
     return new Promise((resolve) => {
-      const socket = this.connect(host ?? '', Number(port));
+      const socket = this.openConnection(host ?? '', Number(port));
       let cancelTimer = () => {};
       const end = (result: Extract<AttemptResult, { kind: 'not-sent' | 'cancelled' }>) => {
         cancelTimer();
@@ -111,7 +117,7 @@
   }
 
   private exchange(
-    target: TargetEntry,
+    target: ConnectionTarget,
     request: OutgoingRequest,
     connection: ExchangeConnection,
     signal: AbortSignal,
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -9,21 +9,26 @@
 import { refuse } from '../callers/CallerExchange.js';
 import type { GatewayRoute } from '../state/GatewayConfiguration.js';
 import type { RefusalReason } from '../callers/Refusal.js';
+import type PeerRelay from '../relay/PeerRelay.js';
+import type { RelayResult } from '../relay/PeerRelay.js';
 import type RetryBudgetShares from './RetryBudgetShares.js';
 import type { AttemptParts, RunningAttempt } from './RunningAttempt.js';
 import { isSuccessful, SERVER_ERROR_STATUS, startAttempt } from './RunningAttempt.js';
-import type { AttemptResult, TargetAnswer } from '../connections/TargetAttempt.js';
+import type { AttemptResult, OutgoingRequest, TargetAnswer } from '../connections/TargetAttempt.js';
 import type TargetPicker from '../placement/TargetPicker.js';
 import type { Pick, PickResult } from '../placement/TargetPicker.js';
 
 /** Failed connections after which a request is refused. */
 const MAXIMUM_FAILED_CONNECTIONS = 8;
+/** Failed connections after which a request is relayed, unless one to another target succeeds. */
+const FAILED_CONNECTIONS_BEFORE_RELAY = 2;
 /** Remaining time below which no further attempt is made. */
 const MINIMUM_REMAINING_MILLISECONDS = 30;
 const REDIRECT_STATUS = 300;
 
 export interface RequestExecutionParts extends AttemptParts {
   readonly picker: TargetPicker;
+  readonly relay: PeerRelay;
   readonly crashes: CrashTracker;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly counters: Counters;
@@ -36,6 +41,8 @@
   readonly service: string;
   /** Identifies the request by what stays the same when its caller retries. */
   readonly fingerprint: string;
+  /** Version of the configuration that the route belongs to. */
+  readonly version: number;
   /** Monotonic time by which the caller needs its answer. */
   readonly deadline: number;
 }
@@ -60,17 +67,24 @@
   ) => Step;
 };
 
+type RelayHandlers = {
+  [Kind in RelayResult['kind']]: (result: Extract<RelayResult, { kind: Kind }>) => Step;
+};
+
 export default class RequestExecution {
   /** Targets that received the request, or could not be reached for it. */
   private readonly excluded = new Set<string>();
 
   /** Attempts that failed or were refused by the target; failed connections are counted apart. */
-  private failedAttempts = 0;
+  private failedAttempts: number;
 
   private attemptsInProgress = 0;
 
   private failedConnections = 0;
 
+  /** Monotonic time of the first failed connection. */
+  private firstUnreachedAt: number | undefined;
+
   /** Set after the request was sent on an idle connection that the target had dropped. */
   private needsNewConnection = false;
 
@@ -90,6 +104,7 @@
     },
     'not-sent': () => {
       this.failedConnections += 1;
+      this.firstUnreachedAt ??= this.parts.clock.now();
       this.lastReason = 'unreachable';
       return this.failedConnections < MAXIMUM_FAILED_CONNECTIONS
         ? RETRY
@@ -107,11 +122,21 @@
     cancelled: () => ({ kind: 'done', outcome: { kind: 'cancelled' } }),
   };
 
+  private readonly relayHandlers: RelayHandlers = {
+    answered: ({ answer }) => ({ kind: 'done', outcome: { kind: 'answered', answer } }),
+    refused: ({ reason }) => this.conclude(reason),
+    'no-peer': () => this.conclude('unreachable'),
+    broken: () => this.handleFailure('connection-broke'),
+    timeout: () => this.handleFailure('timeout'),
+    cancelled: () => ({ kind: 'done', outcome: { kind: 'cancelled' } }),
+  };
+
   constructor(
     private readonly parts: RequestExecutionParts,
     private readonly plan: ExecutionPlan,
   ) {
     this.log = new AttemptLog(parts, plan.exchange.id, plan.service);
+    this.failedAttempts = plan.exchange.relayed?.attemptsMade ?? 0;
   }
 
   /** Attempts the request until there is an outcome for its caller. */
@@ -124,6 +149,9 @@
     if (this.plan.exchange.signal.aborted) return { kind: 'done', outcome: { kind: 'cancelled' } };
     const remaining = this.plan.deadline - this.parts.clock.now();
     if (remaining < MINIMUM_REMAINING_MILLISECONDS) return this.conclude('too-late');
+    if (this.lacksTargets()) {
+      return this.canRelay() ? this.relay() : this.conclude('unreachable');
+    }
     const picked = this.pick();
     if (picked.kind !== 'picked') {
       this.log.recordUnplaced(picked, remaining, this.excluded.size);
@@ -133,6 +161,36 @@
     return this.send(picked.pick);
   }
 
+  /** Whether this daemon, rather than some targets, is the one that cannot be reached. */
+  private lacksTargets(): boolean {
+    const { reachability } = this.parts;
+    const isRelayed = this.plan.exchange.relayed !== undefined;
+    const hasDoubt =
+      this.failedConnections >= FAILED_CONNECTIONS_BEFORE_RELAY &&
+      !reachability.hasConnectedSince(this.firstUnreachedAt ?? 0);
+    return (reachability.isCutOff || hasDoubt) && (isRelayed || this.canRelay());
+  }
+
+  /** A relayed request is not relayed again, and one that may have run only if it is idempotent. */
+  private canRelay(): boolean {
+    const { exchange, route } = this.plan;
+    const mayRun = this.failedAttempts === 0 || route.kind === 'idempotent';
+    return exchange.relayed === undefined && mayRun && this.parts.relay.isAvailable;
+  }
+
+  /** Has a peer execute the request, which counts its retries there. */
+  private async relay(): Promise<Step> {
+    const { exchange, route, deadline, version } = this.plan;
+    const result = await this.parts.relay.send({
+      exchange,
+      kind: sendKindOf(route),
+      deadline,
+      statement: { attemptsMade: this.failedAttempts, configurationVersion: version },
+    });
+    const handle = this.relayHandlers[result.kind] as (result: RelayResult) => Step;
+    return handle(result);
+  }
+
   private pick(): PickResult {
     const { exchange, route, service, deadline } = this.plan;
     return this.parts.picker.pick({
@@ -163,6 +221,7 @@
     const first = this.start(pick);
     const ended = first.result.then(() => true);
     const hasEnded = await Promise.race([ended, first.stalled.then(() => false)]);
+    if (!hasEnded && this.lacksTargets() && this.isIdempotent()) return this.abandon(first);
     const second = hasEnded ? undefined : this.hedge();
     return second === undefined ? this.settle(first) : this.settleEither(first, second);
   }
@@ -178,7 +237,7 @@
       path: exchange.path,
       fields: exchange.fields,
       body: exchange.body,
-      kind: route.kind === 'idempotent' ? 'repeatable' : 'once',
+      kind: sendKindOf(route),
       deadline,
       isRetry,
       needsNewConnection: this.needsNewConnection,
@@ -186,8 +245,23 @@
     return startAttempt(this.parts, pick, service, request, exchange.signal);
   }
 
+  private isIdempotent(): boolean {
+    return this.plan.route.kind === 'idempotent';
+  }
+
+  /** Gives up an attempt at a target that this daemon does not reach any more. */
+  private async abandon(attempt: RunningAttempt): Promise<Step> {
+    attempt.cancel();
+    const result = await attempt.result;
+    if (result.kind !== 'cancelled' || this.plan.exchange.signal.aborted) {
+      return this.settle(attempt);
+    }
+    this.attemptsInProgress -= 1;
+    return this.handleFailure('connection-broke');
+  }
+
   private hedge(): RunningAttempt | undefined {
-    if (this.plan.route.kind !== 'idempotent') return undefined;
+    if (!this.isIdempotent()) return undefined;
     const picked = this.pick();
     if (picked.kind !== 'picked' || !this.withdrawRetry()) return undefined;
     this.parts.counters.add('retries', 'hedged');
@@ -260,3 +334,7 @@
     return { kind: 'done', outcome: this.failure ?? refuse(reason) };
   }
 }
+
+function sendKindOf({ kind }: GatewayRoute): OutgoingRequest['kind'] {
+  return kind === 'idempotent' ? 'repeatable' : 'once';
+}
--- a/packages/gateway/src/execution/RequestProxy.ts
+++ b/packages/gateway/src/execution/RequestProxy.ts
@@ -40,13 +40,17 @@
     if (configuration === undefined || !state.isComplete) {
       return this.refuseUnrouted(exchange, 'no-configuration');
     }
+    // A peer that has a newer configuration must not see its callers served by an older one.
+    const isBehind = configuration.version < (exchange.relayed?.configurationVersion ?? 0);
+    if (isBehind) return this.refuseUnrouted(exchange, 'no-configuration');
     const route = findRoute(configuration, exchange.host, exchange.path);
     if (route === undefined) return this.refuseUnrouted(exchange, 'no-route');
     const service = chooseService(route, random.unit());
     if (service === undefined) return this.refuseUnrouted(exchange, 'no-target');
     const fingerprint = fingerprintOf(exchange);
     const deadline = deadlineOf(exchange, route);
-    retryBudgetShares.shareOf(service).deposit();
+    const isFirstAttempt = (exchange.relayed?.attemptsMade ?? 0) === 0;
+    if (isFirstAttempt) retryBudgetShares.shareOf(service).deposit();
     const outcome = crashes.isHeld(fingerprint)
       ? refuse('held-back')
       : await new RequestExecution(this.parts, {
@@ -54,6 +58,7 @@
           route,
           service,
           fingerprint,
+          version: configuration.version,
           deadline,
         }).execute();
     this.log(exchange, route, service, configuration.version, outcome);
--- a/packages/gateway/src/execution/RunningAttempt.ts
+++ b/packages/gateway/src/execution/RunningAttempt.ts
@@ -5,6 +5,7 @@
 import type AttemptTracker from '../health/AttemptTracker.js';
 import type { AttemptOutcome } from '../fleet/PeerMessage.js';
 import type { RequestRate } from '../limits/TargetRateLimits.js';
+import type TargetReachability from '../reachability/TargetReachability.js';
 import type ServiceTimes from '../placement/ServiceTimes.js';
 import type { AttemptResult, OutgoingRequest } from '../connections/TargetAttempt.js';
 import type TargetConnections from '../connections/TargetConnections.js';
@@ -13,10 +14,15 @@
 /** An attempt stalls when it takes this many times longer than expected, and at least the minimum. */
 const STALL_FACTOR = 3.5;
 const MINIMUM_STALL_MILLISECONDS = 300;
+/** After this multiple of the expected time, an answer of any target shows that they are reached. */
+const SILENCE_FACTOR = 1.5;
+const MINIMUM_SILENCE_MILLISECONDS = 300;
 export const SERVER_ERROR_STATUS = 500;
+const NOTHING_STATED = { requests: undefined, rateLimit: undefined };
 
 export interface AttemptParts {
   readonly attemptTracker: AttemptTracker;
+  readonly reachability: TargetReachability;
   readonly connections: TargetConnections;
   readonly serviceTimes: ServiceTimes;
   readonly clock: Clock;
@@ -25,7 +31,10 @@
 export interface RunningAttempt {
   readonly pick: Pick;
   readonly result: Promise<AttemptResult>;
-  /** Resolves when the attempt takes unusually long; never if it ends before. */
+  /**
+   * Resolves when the attempt takes unusually long, or this daemon is cut off from all targets; never
+   * if it ends before.
+   */
   readonly stalled: Promise<void>;
   readonly cancel: () => void;
 }
@@ -38,49 +47,106 @@
   request: OutgoingRequest,
   callerSignal: AbortSignal,
 ): RunningAttempt {
-  const { attemptTracker, connections, serviceTimes, clock } = parts;
-  const { entry } = pick.target;
+  const { attemptTracker, connections, clock } = parts;
   const controller = new AbortController();
   const startedAt = clock.now();
-  const stallAfter = Math.max(MINIMUM_STALL_MILLISECONDS, pick.expectedMilliseconds * STALL_FACTOR);
-  let cancelStall = () => {};
-  const stalled = new Promise<void>((resolve) => {
-    cancelStall = clock.after(stallAfter, () => {
-      attemptTracker.recordStall(entry.id);
-      resolve();
-    });
-  });
+  const watch = watchAttempt(parts, pick, startedAt);
   attemptTracker.begin(pick.target, request.isRetry);
   const exchange = async (): Promise<AttemptResult> => {
     const signal = AbortSignal.any([callerSignal, controller.signal]);
-    const result = await connections.send(entry, request, signal);
-    cancelStall();
-    const reported = {
-      requests: result.kind === 'answered' ? result.answer.reportedRequests : undefined,
-      rateLimit: rateLimitOf(result),
-    };
-    const end = (outcome: AttemptOutcome | undefined) =>
-      attemptTracker.end(entry.id, outcome, clock.now() - startedAt, reported);
-    const bodyRest = result.kind === 'answered' ? result.answer.bodyRest : undefined;
-    if (bodyRest === undefined) end(outcomeOf(result));
-    else finished(bodyRest, { readable: false }, (error) => end(outcomeOfBody(result, error)));
-    if (isSuccessful(result)) {
-      const queueRounds = (pick.requestsThere + 1) / entry.slots;
-      serviceTimes.record(service, entry.id, clock.now() - startedAt, queueRounds);
+    const result = await connections.send(pick.target.entry, request, signal);
+    watch.end();
+    if (result.kind === 'answered' || result.kind === 'not-run') {
+      recordAnswer(parts, pick, service, result, startedAt);
+    } else {
+      recordSilence(parts, pick, result, startedAt);
     }
-    if (result.kind === 'timeout') connections.forget(entry.id);
-    if (result.kind === 'not-sent' && !result.isRefused)
-      attemptTracker.recordConnectFailure(entry.id);
     return result;
   };
   return {
     pick,
     result: exchange(),
-    stalled,
+    stalled: watch.stalled,
     cancel: () => controller.abort(),
   };
 }
 
+interface AttemptWatch {
+  readonly stalled: Promise<void>;
+  readonly end: () => void;
+}
+
+/** Watches for a stall of the attempt, and for silence of all targets meanwhile. */
+function watchAttempt(parts: AttemptParts, pick: Pick, startedAt: number): AttemptWatch {
+  const { attemptTracker, reachability, clock } = parts;
+  const { id } = pick.target.entry;
+  const expected = pick.expectedMilliseconds;
+  const cancelSilence = clock.after(
+    Math.max(MINIMUM_SILENCE_MILLISECONDS, expected * SILENCE_FACTOR),
+    () => reachability.checkUnlessHeardSince(startedAt),
+  );
+  let end = () => {};
+  const stalled = new Promise<void>((resolve) => {
+    const cancelStall = clock.after(
+      Math.max(MINIMUM_STALL_MILLISECONDS, expected * STALL_FACTOR),
+      () => {
+        reachability.confirmFailure('answer', () => attemptTracker.recordStall(id));
+        resolve();
+      },
+    );
+    const unsubscribe = reachability.subscribe((isCutOff) => isCutOff && resolve());
+    end = () => {
+      cancelSilence();
+      cancelStall();
+      unsubscribe();
+    };
+  });
+  return { stalled, end };
+}
+
+type Heard = Extract<AttemptResult, { kind: 'answered' | 'not-run' }>;
+
+/** Reports what an answer of the target, or its refusal, shows. */
+function recordAnswer(
+  { attemptTracker, reachability, serviceTimes, clock }: AttemptParts,
+  { target: { entry }, requestsThere }: Pick,
+  service: string,
+  result: Heard,
+  startedAt: number,
+): void {
+  reachability.recordContact('answer');
+  const stated = {
+    requests: result.kind === 'answered' ? result.answer.reportedRequests : undefined,
+    rateLimit: rateLimitOf(result),
+  };
+  const end = (outcome: AttemptOutcome | undefined) =>
+    attemptTracker.end(entry.id, outcome, clock.now() - startedAt, stated);
+  const bodyRest = result.kind === 'answered' ? result.answer.bodyRest : undefined;
+  if (bodyRest === undefined) end(outcomeOf(result));
+  else finished(bodyRest, { readable: false }, (error) => end(outcomeOfBody(result, error)));
+  if (!isSuccessful(result)) return;
+  const queueRounds = (requestsThere + 1) / entry.slots;
+  serviceTimes.record(service, entry.id, clock.now() - startedAt, queueRounds);
+}
+
+/** Reports the end of an attempt without an answer; as a failure once the links are known to work. */
+function recordSilence(
+  { attemptTracker, reachability, connections, clock }: AttemptParts,
+  { target: { entry } }: Pick,
+  result: Exclude<AttemptResult, Heard>,
+  startedAt: number,
+): void {
+  attemptTracker.end(entry.id, undefined, clock.now() - startedAt, NOTHING_STATED);
+  if (result.kind === 'timeout') connections.forget(entry.id);
+  if (result.kind === 'cancelled') return;
+  const isUnsent = result.kind === 'not-sent';
+  if (isUnsent) attemptTracker.recordConnectFailure(entry.id, result.isRefused);
+  const outcome = outcomeOf(result);
+  reachability.confirmFailure(isUnsent ? 'connection' : 'answer', () => {
+    if (outcome !== undefined) attemptTracker.recordLateOutcome(entry.id, outcome, startedAt);
+  });
+}
+
 /** Whether the target answered without a server error. */
 export function isSuccessful(result: AttemptResult): boolean {
   return result.kind === 'answered' && result.answer.status < SERVER_ERROR_STATUS;
@@ -90,8 +156,7 @@
  * The rate limit that the target stated, if the result is evidence of one. Only a genuine answer
  * shows that there is none.
  */
-function rateLimitOf(result: AttemptResult): RequestRate | undefined {
-  if (result.kind !== 'answered' && result.kind !== 'not-run') return undefined;
+function rateLimitOf(result: Heard): RequestRate | undefined {
   const rate = result.kind === 'answered' ? result.answer.rateLimit : result.rateLimit;
   const isGenuine = result.kind === 'answered' && result.answer.isSigned && isSuccessful(result);
   return rate === 'unlimited' && !isGenuine ? undefined : rate;
--- a/packages/gateway/src/fleet/EntryDirectory.ts
+++ b/packages/gateway/src/fleet/EntryDirectory.ts
@@ -70,9 +70,7 @@
     const [self, ...others] = this.members.regionMembers();
     const ready = [self!, ...others].filter(({ state }) => state !== 'starting');
     const zones = [...new Set(ready.map(({ zone }) => zone))];
-    const entries = zones.flatMap((zone) =>
-      this.selectEntries(ready.filter((member) => member.zone === zone)),
-    );
+    const entries = zones.flatMap((zone) => this.entriesOf(zone, ready));
     const near = this.rankMembers(ready.filter(({ zone }) => zone === self!.zone));
     const critical = near.slice(0, ENTRIES_PER_ZONE + STANDBYS_PER_ZONE);
     const active = others.filter(({ name }) => this.members.isActive(name));
@@ -89,23 +87,46 @@
 
   /** Caller addresses of the entries for a zone. */
   public addressesFor(zone: string): readonly string[] {
+    return [...new Set(this.servingFor(zone).map(({ callerAddress }) => callerAddress))];
+  }
+
+  /** The daemons to which this one may relay requests when it reaches no target. */
+  public relayPeers(): readonly PeerDescription[] {
+    const [self] = this.members.regionMembers();
+    return this.servingFor(self!.zone).filter(
+      ({ name, isCutOff }) => name !== self!.name && isCutOff !== true,
+    );
+  }
+
+  /**
+   * The daemons that serve the callers of a zone. Those that are cut off from all targets are left
+   * out, unless there are no others.
+   */
+  private servingFor(zone: string): readonly PeerDescription[] {
     const ready = this.members.regionMembers().filter(({ state }) => state === 'ready');
-    const zoneEntries = this.selectEntries(ready.filter((member) => member.zone === zone));
-    const chosen =
-      zoneEntries.length >= MINIMUM_ZONE_ENTRIES
-        ? zoneEntries
-        : [...zoneEntries, ...this.selectEntries(ready)];
-    return [...new Set(chosen.map(({ callerAddress }) => callerAddress))];
+    const reaching = ready.filter(({ isCutOff }) => isCutOff !== true);
+    const usable = reaching.length > 0 ? reaching : ready;
+    const zoneEntries = this.entriesOf(zone, usable);
+    if (zoneEntries.length >= MINIMUM_ZONE_ENTRIES) return zoneEntries;
+    const zones = [...new Set(usable.map((member) => member.zone))];
+    return [
+      ...new Set([...zoneEntries, ...zones.flatMap((other) => this.entriesOf(other, usable))]),
+    ];
   }
 
-  private selectEntries(members: readonly PeerDescription[]): readonly PeerDescription[] {
-    return this.rankMembers(members).slice(0, ENTRIES_PER_ZONE);
+  private entriesOf(zone: string, members: readonly PeerDescription[]): readonly PeerDescription[] {
+    const near = members.filter((member) => member.zone === zone);
+    return this.rankMembers(near).slice(0, ENTRIES_PER_ZONE);
   }
 
-  /** Orders members by capacity, and those of equal capacity in an order that all daemons share. */
+  /**
+   * Orders members: those that are cut off from all targets last, then by capacity, and those of
+   * equal capacity in an order that all daemons share.
+   */
   private rankMembers(members: readonly PeerDescription[]): readonly PeerDescription[] {
     return [...members].sort(
       (left, right) =>
+        Number(left.isCutOff === true) - Number(right.isCutOff === true) ||
         right.capacity - left.capacity ||
         compareText(this.orderKeyOf(left), this.orderKeyOf(right)),
     );
--- a/packages/gateway/src/fleet/FleetMembers.ts
+++ b/packages/gateway/src/fleet/FleetMembers.ts
@@ -37,6 +37,8 @@
   readonly sender: string;
   readonly incarnation: number;
   readonly state: DaemonState;
+  /** Whether the sender is cut off from all targets. */
+  readonly isCutOff: boolean;
   /** Time until the sender's next heartbeat. */
   readonly pauseMilliseconds: number;
 }
@@ -71,11 +73,15 @@
     }
     const isNew = current?.description.incarnation !== description.incarnation;
     if (isNew && current !== undefined) this.onRemoved(description.name);
-    if (isNew || current?.description.state !== description.state) {
+    const isChanged =
+      current?.description.state !== description.state ||
+      current?.description.isCutOff !== description.isCutOff;
+    if (isNew || isChanged) {
       this.logger.info('member-seen', {
         member: description.name,
         incarnation: description.incarnation,
         state: description.state,
+        isCutOff: description.isCutOff,
       });
     }
     this.lostAt.delete(description.name);
@@ -96,7 +102,7 @@
 
   /** Applies a heartbeat; returns whether the sender's description here is current. */
   public applyHeartbeat(heartbeat: MemberHeartbeat): boolean {
-    const { sender: name, incarnation, state, pauseMilliseconds } = heartbeat;
+    const { sender: name, incarnation, state, isCutOff, pauseMilliseconds } = heartbeat;
     const current = this.members.get(name);
     if (current === undefined || current.description.incarnation !== incarnation) return false;
     this.members.set(name, {
@@ -104,7 +110,8 @@
       lastSeenAt: this.clock.now(),
       timeoutMilliseconds: pauseMilliseconds * MISSED_HEARTBEATS,
     });
-    return current.description.state === state;
+    const isKnownCutOff = current.description.isCutOff === true;
+    return current.description.state === state && isKnownCutOff === isCutOff;
   }
 
   /** Adds addresses of daemons; returns those in the own or an unknown region that are not live. */
--- a/packages/gateway/src/fleet/LocalDaemon.ts
+++ b/packages/gateway/src/fleet/LocalDaemon.ts
@@ -8,6 +8,8 @@
 export default class LocalDaemon {
   private daemonState: DaemonState = 'starting';
 
+  private isCutOff = false;
+
   private readonly incarnation: number;
 
   constructor(private readonly options: GatewayOptions) {
@@ -15,16 +17,18 @@
   }
 
   public describe(): PeerDescription {
-    const { name, peerAddress, callerAddress, zone, region, capacity } = this.options;
-    const { incarnation, daemonState: state } = this;
+    const { name, peerAddress, callerAddress, relayAddress, zone, region, capacity } = this.options;
+    const { incarnation, daemonState: state, isCutOff } = this;
     return {
       name,
       incarnation,
       address: peerAddress,
       callerAddress,
+      relayAddress,
       zone,
       region,
       state,
+      ...(isCutOff ? { isCutOff } : {}),
       capacity,
     };
   }
@@ -45,6 +49,7 @@
       sender: this.options.name,
       incarnation: this.incarnation,
       state: this.daemonState,
+      isCutOff: this.isCutOff,
       versions: sharedState.state.versions(),
       outstanding: sharedState.outstanding.listOwn(),
       unhealthy: isEntry ? sharedState.targets.unhealthyTargets() : [],
@@ -63,6 +68,12 @@
     this.setState('leaving', members, link);
   }
 
+  /** Tells the members whether this daemon is cut off from all targets. */
+  public announceCutOff(isCutOff: boolean, members: FleetMembers, link: PeerSender): void {
+    this.isCutOff = isCutOff;
+    link.send(members.liveAddresses(), this.createHello(false));
+  }
+
   private setState(state: DaemonState, members: FleetMembers, link: PeerSender): void {
     this.daemonState = state;
     link.send(members.liveAddresses(), this.createHello(false));
--- a/packages/gateway/src/fleet/PeerCodec.ts
+++ b/packages/gateway/src/fleet/PeerCodec.ts
@@ -31,6 +31,7 @@
   Record<string, number>,
   UnhealthyRow[],
   RateLimitRow[]?,
+  number?,
 ];
 
 const KINDS: readonly string[] = [
@@ -147,6 +148,7 @@
       encodeRate(rate),
       age,
     ]),
+    heartbeat.isCutOff ? 1 : 0,
   ];
 }
 
@@ -165,7 +167,8 @@
 
 function unpackHeartbeat(fields: HeartbeatFields): HeartbeatMessage | undefined {
   const [, sender, incarnation, stateNumber, pauseMilliseconds, ...rest] = fields;
-  const [configuration, targets, ageMilliseconds, outstanding, rows, limitRows = []] = rest;
+  const [configuration, targets, ageMilliseconds, outstanding, rows, limitRows = [], cutOff = 0] =
+    rest;
   const state = STATES[stateNumber];
   if (state === undefined) return undefined;
   return {
@@ -173,6 +176,7 @@
     sender,
     incarnation,
     state,
+    isCutOff: cutOff === 1,
     pauseMilliseconds,
     versions: { configuration, targets, ageMilliseconds },
     outstanding,
--- a/packages/gateway/src/fleet/PeerMessage.ts
+++ b/packages/gateway/src/fleet/PeerMessage.ts
@@ -14,9 +14,13 @@
   readonly address: string;
   /** `ip:port` for callers. */
   readonly callerAddress: string;
+  /** `ip:port` for requests of peers that are cut off from all targets, if it takes such. */
+  readonly relayAddress?: string;
   readonly zone: string;
   readonly region: string;
   readonly state: DaemonState;
+  /** Whether the daemon is cut off from all targets; absent means that it is not. */
+  readonly isCutOff?: boolean;
   /** Capacity for callers' requests, from 0 to 1; a host that is large enough has 1. */
   readonly capacity: number;
 }
@@ -81,6 +85,8 @@
       readonly sender: string;
       readonly incarnation: number;
       readonly state: DaemonState;
+      /** Whether the sender is cut off from all targets. */
+      readonly isCutOff: boolean;
       /** Time until the sender's next heartbeat to the same receiver. */
       readonly pauseMilliseconds: number;
       readonly versions: KnownVersions;
--- a/packages/gateway/src/health/AttemptTracker.ts
+++ b/packages/gateway/src/health/AttemptTracker.ts
@@ -129,16 +129,31 @@
     });
   }
 
-  /** Records that this daemon failed to connect in time; others may still reach the target. */
-  public recordConnectFailure(id: string): void {
+  /**
+   * Records how an attempt of this daemon ended, after the end itself: whether the target or this
+   * daemon's links had failed was not known then.
+   */
+  public recordLateOutcome(id: string, outcome: AttemptOutcome, startedAt: number): void {
+    const elapsedMilliseconds = Math.round(this.parts.clock.now() - startedAt);
+    const outstanding = this.parts.outstanding.ownAt(id);
+    this.recordOutcome(id, outcome, elapsedMilliseconds, 'own');
+    this.queueReport({ target: id, outstanding, outcome, elapsedMilliseconds });
+  }
+
+  /**
+   * Records that this daemon failed to connect; others may still reach the target.
+   *
+   * @param isRefused - whether the connection was refused, rather than not established in time
+   */
+  public recordConnectFailure(id: string, isRefused: boolean): void {
     const target = this.parts.targets.get(id);
     if (target === undefined) return;
-    target.blockedUntil = this.parts.clock.now() + CONNECT_FAILURE_BLOCK_MILLISECONDS;
-    this.parts.counters.add('steering', 'unreached');
-    this.parts.logger.info('target-unreached', {
-      target: id,
-      forMilliseconds: CONNECT_FAILURE_BLOCK_MILLISECONDS,
-    });
+    const forMilliseconds = isRefused
+      ? CONNECT_REFUSED_BLOCK_MILLISECONDS
+      : CONNECT_FAILURE_BLOCK_MILLISECONDS;
+    target.blockedUntil = this.parts.clock.now() + forMilliseconds;
+    this.parts.counters.add('steering', isRefused ? 'refused' : 'unreached');
+    this.parts.logger.info('target-unreached', { target: id, isRefused, forMilliseconds });
   }
 
   /** Applies a peer's reports of its attempts. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,6 @@
 export { chooseService, findRoute } from './state/GatewayConfiguration.js';
 export { listen } from './state/PeerStateServer.js';
-export { connectToTarget } from './connections/connectToTarget.js';
+export { openConnection } from './connections/openConnection.js';
 export { REFUSAL_RULES } from './callers/Refusal.js';
 export {
   default as TargetHealthEstimate,
@@ -25,7 +25,7 @@
   TargetPage,
 } from './state/GatewayStore.js';
 export type { RefusalReason, RefusalRule } from './callers/Refusal.js';
-export type { ConnectToTarget } from './connections/connectToTarget.js';
+export type { OpenConnection } from './connections/openConnection.js';
 export type { TargetFieldNames } from './connections/TargetAttempt.js';
 export type { TargetChange, TargetEntry } from './state/TargetEntry.js';
 export type { Gateway } from './wiring/wireGateway.js';
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -1,7 +1,7 @@
 /** What the data path needs from the program that embeds it. */
 import type { Clock, Counters, Logger, Random } from '@cactusrun/core';
 import type { CallerFieldNames } from '../callers/CallerServer.js';
-import type { ConnectToTarget } from '../connections/connectToTarget.js';
+import type { OpenConnection } from '../connections/openConnection.js';
 import type { GatewayConfiguration } from '../state/GatewayConfiguration.js';
 import type { GatewayStore } from '../state/GatewayStore.js';
 import type { RetryBudgetLimits } from '../execution/RetryBudgetShare.js';
@@ -22,6 +22,8 @@
   readonly regions: Readonly<Record<string, string>>;
   readonly callerAddress: string;
   readonly peerAddress: string;
+  /** `ip:port` for requests that peers relay. */
+  readonly relayAddress: string;
   readonly seeds: readonly string[];
   /** Whether the whole fleet starts now, rather than this daemon alone. */
   readonly isFleetStart: boolean;
@@ -35,7 +37,8 @@
   readonly callerFields: CallerFieldNames;
   readonly store: GatewayStore;
   readonly decode: (document: string) => GatewayConfiguration;
-  readonly connectToTarget: ConnectToTarget;
+  /** Opens connections to targets. */
+  readonly openTargetConnection: OpenConnection;
   readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -10,7 +10,11 @@
 import GatewayState from '../state/GatewayState.js';
 import IdleReuse from '../connections/IdleReuse.js';
 import OutstandingRequests from '../placement/OutstandingRequests.js';
+import type { OpenConnection } from '../connections/openConnection.js';
+import { openConnection } from '../connections/openConnection.js';
 import type { PeerDescription } from '../fleet/PeerMessage.js';
+import PeerRelay from '../relay/PeerRelay.js';
+import TargetReachability from '../reachability/TargetReachability.js';
 import RateLimitShare from '../limits/RateLimitShare.js';
 import RequestProxy from '../execution/RequestProxy.js';
 import RetryBudgetShares from '../execution/RetryBudgetShares.js';
@@ -27,6 +31,10 @@
   readonly targets: TargetTable;
   readonly outstanding: OutstandingRequests;
   readonly connections: TargetConnections;
+  /** Connections to peers, for relayed requests. */
+  readonly peerConnections: TargetConnections;
+  readonly reachability: TargetReachability;
+  readonly relay: PeerRelay;
   readonly serviceTimes: ServiceTimes;
   readonly failures: FailureRates;
   readonly idleReuse: IdleReuse;
@@ -45,19 +53,36 @@
   const targets = new TargetTable(clock, DEFAULT_HEALTH_MODEL_PARAMETERS);
   const outstanding = new OutstandingRequests();
   const idleReuse = new IdleReuse(clock);
-  const connections = new TargetConnections(
-    options.targetFields,
-    idleReuse,
-    clock,
-    counters,
-    options.connectToTarget,
-  );
   const serviceTimes = new ServiceTimes();
   const failures = new FailureRates(clock);
+  const removalListeners = [(name: string) => outstanding.forgetPeer(name)];
   const members = new FleetMembers(describeSelf, clock, logger, (name) =>
-    outstanding.forgetPeer(name),
+    removalListeners.forEach((listener) => listener(name)),
   );
   const directory = new EntryDirectory(members, clock);
+  const reachability = new TargetReachability({
+    targets,
+    openConnection: options.openTargetConnection,
+    isEntry: () => directory.isEntry(),
+    clock,
+    random,
+    counters,
+    logger,
+  });
+  const connect = (open: OpenConnection, reuse: IdleReuse) =>
+    new TargetConnections(options.targetFields, reuse, clock, counters, open);
+  const connections = connect(reachability.openConnection, idleReuse);
+  const peerConnections = connect(openConnection, new IdleReuse(clock));
+  const relay = new PeerRelay({
+    directory,
+    connections: peerConnections,
+    clock,
+    random,
+    counters,
+    logger,
+  });
+  removalListeners.push((name) => relay.forget(name));
+  reachability.subscribe((isCutOff) => isCutOff && connections.forgetAll());
   const { region, regions } = options;
   const share = new RateLimitShare({ region, regions, members, directory });
   const rateLimits = new TargetRateLimits({ share, clock, random, counters, logger });
@@ -75,6 +100,9 @@
     targets,
     outstanding,
     connections,
+    peerConnections,
+    reachability,
+    relay,
     serviceTimes,
     failures,
     idleReuse,
@@ -86,7 +114,7 @@
   };
 }
 
-function buildProxy(
+export function buildProxy(
   options: GatewayOptions,
   sharedState: SharedState,
   attemptTracker: AttemptTracker,
@@ -110,6 +138,8 @@
     picker,
     attemptTracker,
     connections: sharedState.connections,
+    reachability: sharedState.reachability,
+    relay: sharedState.relay,
     serviceTimes: sharedState.serviceTimes,
     failures: sharedState.failures,
     crashes,
@@ -121,17 +151,21 @@
   });
 }
 
-/** Constructs the server for callers and the components that handle their requests. */
-export function buildCallerServer(
+/** Which requests a server takes: those of callers, or those that peers relay. */
+interface ServerRole {
+  readonly address: string;
+  readonly isForPeers: boolean;
+}
+
+/** Constructs a server of requests that the proxy handles. */
+export function buildServer(
   options: GatewayOptions,
-  sharedState: SharedState,
-  attemptTracker: AttemptTracker,
-  crashes: CrashTracker,
+  { state }: SharedState,
+  proxy: RequestProxy,
+  role: ServerRole,
 ): CallerServer {
-  const { state } = sharedState;
-  const proxy = buildProxy(options, sharedState, attemptTracker, crashes);
   const server: CallerServer = new CallerServer({
-    address: options.callerAddress,
+    ...role,
     names: options.callerFields,
     clock: options.clock,
     random: options.random,
--- a/packages/gateway/src/wiring/wireGateway.ts
+++ b/packages/gateway/src/wiring/wireGateway.ts
@@ -2,12 +2,14 @@
 import type { Stop } from '@cactusrun/core';
 import { mergeStops } from '@cactusrun/core';
 import { CrashTracker } from '@cactusrun/requests';
+import type CallerServer from '../callers/CallerServer.js';
 import AttemptTracker from '../health/AttemptTracker.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 import type { SharedState } from './GatewayParts.js';
-import { buildCallerServer, buildSharedState } from './GatewayParts.js';
+import { buildProxy, buildServer, buildSharedState } from './GatewayParts.js';
 import { startHeartbeat } from '../fleet/Heartbeat.js';
 import LocalDaemon from '../fleet/LocalDaemon.js';
+import announceReachability from '../reachability/announceReachability.js';
 import { startPeerDiscovery } from '../fleet/PeerDiscovery.js';
 import type { PeerHandlers } from '../fleet/peerHandlers.js';
 import { createPeerHandlers, dispatchPeerMessage } from '../fleet/peerHandlers.js';
@@ -42,22 +44,36 @@
   const sharedState = buildSharedState(options, () => daemon.describe());
   const links = buildLinks(options, daemon, sharedState);
   const { link } = links;
-  const { members, connections, directory } = sharedState;
-  const server = buildCallerServer(options, sharedState, links.attemptTracker, links.crashes);
+  const { members, connections, peerConnections, directory } = sharedState;
+  const servers = buildServers(options, sharedState, links);
   const stopLinks = await startLinks(options, daemon, sharedState, links);
-  await server.start();
-  const stopServer = async () => {
+  await Promise.all(servers.map((server) => server.start()));
+  const stopServers = async () => {
     daemon.beginShutdown(members, link);
-    await shutDownGracefully(server, options);
+    await Promise.all(servers.map((server) => shutDownGracefully(server, options)));
     connections.close();
+    peerConnections.close();
   };
   return {
     isReady: () => daemon.checkReady(sharedState, link),
     addressesFor: (zone) => directory.addressesFor(zone),
-    stop: mergeStops([stopLinks, stopServer]),
+    stop: mergeStops([stopLinks, stopServers]),
   };
 }
 
+/** The server of callers, and that of requests which peers relay. */
+function buildServers(
+  options: GatewayOptions,
+  sharedState: SharedState,
+  { attemptTracker, crashes }: Links,
+): readonly CallerServer[] {
+  const proxy = buildProxy(options, sharedState, attemptTracker, crashes);
+  return [
+    { address: options.callerAddress, isForPeers: false },
+    { address: options.relayAddress, isForPeers: true },
+  ].map((role) => buildServer(options, sharedState, proxy, role));
+}
+
 function buildLinks(options: GatewayOptions, daemon: LocalDaemon, sharedState: SharedState): Links {
   const { name, clock, counters, logger, random } = options;
   const { members, state } = sharedState;
@@ -111,7 +127,7 @@
   { link, follower }: Links,
 ): Promise<Stop> {
   const { name, peerAddress, store, clock, logger, random } = options;
-  const { members, directory, state } = sharedState;
+  const { members, directory, state, reachability } = sharedState;
   const takeSnapshot = () => state.snapshot(members.knownAndSelf());
   const stopPeerState = await servePeerState(peerAddress, takeSnapshot, clock, options.counters);
   const stopLink = await link.start();
@@ -139,5 +155,9 @@
     stopHeartbeat,
     follower.start(),
     startPeerDiscovery(discovery),
+    reachability.start(),
+    announceReachability(reachability, clock, (isCutOff) =>
+      daemon.announceCutOff(isCutOff, members, link),
+    ),
   ]);
 }
