--- a/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
+++ b/packages/gateway/src/__tests__/unit/FleetMembers.test.ts
@@ -200,6 +200,44 @@
       expect([...directory.addressesFor('z')].sort()).toEqual(['a:2', 'b:2', 'c:2']);
     });
 
+    it('excludes daemons that are cut off from all targets, while there are others', async () => {
+      const isCutOff = true;
+      members.applyDescription(createPeerDescription('a', { isCutOff }));
+      members.applyDescription(createPeerDescription('b'));
+      expect([...directory.addressesFor('z')].sort()).toEqual(['b:2', 'm:2']);
+      expect(directory.relayPeers().map(({ name }) => name)).toEqual(['b']);
+      await clock.advance(300);
+      members.applyDescription(createPeerDescription('b', { isCutOff }));
+      ownState = 'leaving';
+      expect([...directory.addressesFor('z')].sort()).toEqual(['a:2', 'b:2']);
+      expect(directory.relayPeers()).toEqual([]);
+    });
+
+    it('directs the callers of a zone that is cut off to the entries of the other zones', () => {
+      ownState = 'leaving';
+      ['a', 'b', 'c'].forEach((name) =>
+        members.applyDescription(createPeerDescription(name, { isCutOff: true })),
+      );
+      const names = Array.from({ length: 6 }, (_, index) => `d${index}`);
+      names.forEach((name) =>
+        members.applyDescription(createPeerDescription(name, { zone: 'other' })),
+      );
+      expect([...directory.addressesFor('z')].sort()).toEqual(
+        [...directory.addressesFor('other')].sort(),
+      );
+    });
+
+    it('puts others in the place of entries that are cut off', async () => {
+      const names = Array.from({ length: 12 }, (_, index) => `d${index}`);
+      names.forEach((name) => members.applyDescription(createPeerDescription(name)));
+      const before = directory.entryAddresses();
+      const [cutOff] = names.filter((name) => before.includes(`${name}:1`));
+      members.applyDescription(createPeerDescription(cutOff!, { isCutOff: true }));
+      await clock.advance(300);
+      expect(directory.entryAddresses()).not.toContain(`${cutOff}:1`);
+      expect(directory.entryAddresses()).toHaveLength(before.length);
+    });
+
     it('relies on the entries and the next daemons of the zone, also while they are silent', () => {
       const names = Array.from({ length: 12 }, (_, index) => `d${index}`);
       names.forEach((name) => members.applyDescription(createPeerDescription(name)));
