Respect targets that say that they leave, or ask a daemon for a rest

Cause: nothing read `Server-Leaving`, nor `Retry-After` in a target's 503.

Change: what a target states is decoded once (TargetStatement), and TargetAdmission says for each target whether it may be sent to: not while it leaves, rests, or its rate limit leaves no room. Departures belong to one process of a target, outlive its registry entry and are told to peers; a rest concerns this daemon alone. When all rest, the caller gets a refusal at once that says when the first is free.

Why it works: every attempt gets its target from the picker, which asks the admission for each target.

On the way: a 421 comes from another target, whose statements were attributed to the expected one; they count for nothing now. RateLimitReport moved to PeerMessage, so that fleet/ no longer needs limits/.

--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -16,7 +16,8 @@
 import OutstandingRequests from '../../placement/OutstandingRequests.js';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
 import RequestProxy from '../../execution/RequestProxy.js';
-import type { RequestRate } from '../../limits/TargetRateLimits.js';
+import type { TargetStatement } from '../../state/TargetStatement.js';
+import { NOTHING_STATED } from '../../state/TargetStatement.js';
 import RetryBudgetShares from '../../execution/RetryBudgetShares.js';
 import ServiceTimes from '../../placement/ServiceTimes.js';
 import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../health/TargetHealthEstimate.js';
@@ -30,19 +31,22 @@
 import type { RelayedRequest, RelayResult } from '../../relay/PeerRelay.js';
 import type TargetReachability from '../../reachability/TargetReachability.js';
 import createReachability, { connectAtOnce } from './createReachability.js';
-import createRateLimits from './createRateLimits.js';
+import createTargetNotices from './createTargetNotices.js';
 import createTargetEntry from './createTargetEntry.js';
 
 const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload'];
 
+/** A target that answers without a limit states that it has none. */
+const UNLIMITED: TargetStatement = { ...NOTHING_STATED, rateLimit: 'unlimited' };
+
 export function answer(
   status: number,
   isSigned = true,
   isFramed = true,
-  rateLimit: RequestRate = 'unlimited',
+  stated: Partial<TargetStatement> = {},
 ): AttemptResult {
   const body = { bodyStart: Buffer.from('x'), bodyRest: undefined, isFramed };
-  const seen = { reportedRequests: undefined, isSigned, rateLimit };
+  const seen = { isSigned, stated: { ...UNLIMITED, ...stated } };
   return { kind: 'answered', answer: { status, fields: [], ...body, ...seen } };
 }
 
@@ -51,8 +55,8 @@
   failed: answer(500),
   unsigned: answer(200, false),
   unframed: answer(200, true, false),
-  full: { kind: 'not-run', reason: 'full', rateLimit: undefined },
-  other: { kind: 'not-run', reason: 'other-target', rateLimit: undefined },
+  full: { kind: 'not-run', reason: 'full', stated: NOTHING_STATED },
+  other: { kind: 'not-run', reason: 'other-target', stated: NOTHING_STATED },
   unreached: { kind: 'not-sent', detail: 'no connection', isRefused: false },
   broken: { kind: 'broken', detail: 'reset' },
   dropped: { kind: 'dropped', detail: 'reset' },
@@ -186,7 +190,7 @@
     const failures = new FailureRates(clock);
     const random = createRandom(3);
     const retryBudgetShares = new RetryBudgetShares(BUDGET, () => 1, clock);
-    const rateLimits = createRateLimits(clock);
+    const notices = createTargetNotices(clock);
     const attemptTracker = new AttemptTracker({
       selfName: 'm',
       targets,
@@ -194,7 +198,7 @@
       failures,
       idleReuse: new IdleReuse(clock),
       retryBudgetShares,
-      rateLimits,
+      ...notices,
       directory: createDirectory(clock),
       link: { send: () => true },
       clock,
@@ -208,7 +212,7 @@
       outstanding,
       serviceTimes,
       coverage: new TargetCoverage(clock, failures, 0.7),
-      hasRoom: (target) => rateLimits.hasRoom(target),
+      admission: notices.admission,
       hasConnection: () => false,
       clock,
       random,
--- a/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
@@ -18,6 +18,7 @@
   notRun: 'X-Not-Run',
   load: 'X-Load',
   rateLimit: 'X-Rate-Limit',
+  leaving: 'X-Leaving',
   signature: 'X-Signature',
 };
 const DEADLINE_MILLISECONDS = 300;
--- a/packages/gateway/src/callers/AnswerWriter.ts
+++ b/packages/gateway/src/callers/AnswerWriter.ts
@@ -3,11 +3,14 @@
 import type { Random } from '@cactusrun/core';
 import type { TargetAnswer } from '../connections/TargetAttempt.js';
 import { isRelayField } from '../relay/RelayField.js';
+import type { Refused } from './CallerExchange.js';
 import type { RefusalReason } from './Refusal.js';
 import { REFUSAL_RULES } from './Refusal.js';
 
 /** Relative jitter of the retry-after time around its mean. */
 const RETRY_AFTER_JITTER = 0.5;
+/** Callers return spread over this time after the earliest moment that is known. */
+const RETURN_SPREAD_MILLISECONDS = 500;
 const MILLISECONDS_PER_SECOND = 1_000;
 const CLOSE_FIELDS: readonly string[] = ['connection', 'close'];
 
@@ -51,13 +54,13 @@
    */
   public writeRefusal(
     response: ServerResponse,
-    reason: RefusalReason,
+    { reason, freeInMilliseconds }: Refused,
     closes: boolean,
     extraFields: readonly string[],
   ): void {
     const rule = REFUSAL_RULES[reason];
-    const jitter = 1 + RETRY_AFTER_JITTER * (2 * this.random.unit() - 1);
-    const seconds = (rule.retryAfterMilliseconds * jitter) / MILLISECONDS_PER_SECOND;
+    const seconds =
+      this.retryAfterMilliseconds(reason, freeInMilliseconds) / MILLISECONDS_PER_SECOND;
     const body = `${JSON.stringify({ reason, meaning: rule.meaning, notRun: rule.isNotRun })}\n`;
     response.writeHead(rule.status, [
       'content-type',
@@ -70,4 +73,16 @@
     ]);
     response.end(body);
   }
+
+  private retryAfterMilliseconds(
+    reason: RefusalReason,
+    freeInMilliseconds: number | undefined,
+  ): number {
+    const unit = this.random.unit();
+    if (freeInMilliseconds !== undefined) {
+      return freeInMilliseconds + RETURN_SPREAD_MILLISECONDS * unit;
+    }
+    const jitter = 1 + RETRY_AFTER_JITTER * (2 * unit - 1);
+    return REFUSAL_RULES[reason].retryAfterMilliseconds * jitter;
+  }
 }
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -25,12 +25,20 @@
   readonly isFollowed: () => boolean;
 }
 
+/** Why a request gets no answer of a target. */
+export interface Refused {
+  readonly reason: RefusalReason;
+  /** Earliest time at which a target can take the request, if that is known. */
+  readonly freeInMilliseconds?: number;
+}
+
 export type CallerOutcome =
   | { readonly kind: 'answered'; readonly answer: TargetAnswer }
-  | { readonly kind: 'refused'; readonly reason: RefusalReason }
+  | ({ readonly kind: 'refused' } & Refused)
   | { readonly kind: 'cancelled' };
 
 /** The outcome of a request that gets no answer from a target. */
-export function refuse(reason: RefusalReason): CallerOutcome {
-  return { kind: 'refused', reason };
+export function refuse(reason: RefusalReason, freeInMilliseconds?: number): CallerOutcome {
+  const isKnown = freeInMilliseconds !== undefined;
+  return { kind: 'refused', reason, ...(isKnown ? { freeInMilliseconds } : {}) };
 }
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -11,10 +11,9 @@
 import AnswerWriter from './AnswerWriter.js';
 import type { ConnectionRequest } from './CallerConnection.js';
 import CallerConnection from './CallerConnection.js';
-import type { CallerExchange, CallerOutcome } from './CallerExchange.js';
+import type { CallerExchange, CallerOutcome, Refused } from './CallerExchange.js';
 import readRequestBody from './readRequestBody.js';
 import { decodeStatement, encodeRefusal, isRelayField } from '../relay/RelayField.js';
-import type { RefusalReason } from './Refusal.js';
 
 /** Limits that apply until there is a configuration. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -156,7 +155,7 @@
     const receivedAt = clock.now();
     const limits = this.options.limits() ?? DEFAULT_LIMITS;
     if (headerSize(request) > limits.headerBytes) {
-      this.writeRefusal(incoming, 'headers-too-large');
+      this.writeRefusal(incoming, { reason: 'headers-too-large' });
       return;
     }
     const body = await readRequestBody(request, limits.bodyBytes, clock);
@@ -166,7 +165,7 @@
       return;
     }
     if (body.kind === 'too-large') {
-      this.writeRefusal(incoming, 'body-too-large');
+      this.writeRefusal(incoming, { reason: 'body-too-large' });
       return;
     }
     const exchange = this.createExchange(request, body.bytes, receivedAt, incoming);
@@ -204,7 +203,7 @@
   }
 
   private async writeOutcome(incoming: Incoming, outcome: CallerOutcome): Promise<void> {
-    if (outcome.kind === 'refused') this.writeRefusal(incoming, outcome.reason);
+    if (outcome.kind === 'refused') this.writeRefusal(incoming, outcome);
     else if (outcome.kind === 'answered') await this.writeAnswer(incoming, outcome.answer);
     else this.options.counters.add('callers', 'gone');
   }
@@ -223,7 +222,7 @@
       return;
     }
     if (bodyRest?.errored) {
-      this.writeRefusal(incoming, 'connection-broke');
+      this.writeRefusal(incoming, { reason: 'connection-broke' });
       return;
     }
     // A body that the target ended by closing its connection may be truncated. The caller's
@@ -233,18 +232,19 @@
     AnswerWriter.writeAnswer(response, answer, closes, () => connection.cut(request));
   }
 
-  private writeRefusal(incoming: Incoming, reason: RefusalReason): void {
+  private writeRefusal(incoming: Incoming, refused: Refused): void {
     if (incoming.request.signal.aborted) return;
-    this.options.counters.add('refusals', reason);
-    const extraFields = this.options.isForPeers ? this.peerFields(incoming, reason) : [];
-    this.writer.writeRefusal(incoming.response, reason, this.closesWith(incoming), extraFields);
+    const { counters, isForPeers } = this.options;
+    counters.add('refusals', refused.reason);
+    const extraFields = isForPeers ? this.peerFields(incoming, refused) : [];
+    this.writer.writeRefusal(incoming.response, refused, this.closesWith(incoming), extraFields);
   }
 
   /** What tells a peer that this daemon refuses the request, rather than a target. */
-  private peerFields({ response }: Incoming, reason: RefusalReason): readonly string[] {
+  private peerFields({ response }: Incoming, refused: Refused): readonly string[] {
     const { attemptId } = this.options.names;
     const id = response.req.headers[attemptId.toLowerCase()];
-    return [...encodeRefusal(reason), attemptId, String(id ?? '')];
+    return [...encodeRefusal(refused), attemptId, String(id ?? '')];
   }
 
   private closesWith({ connection, request, response }: Incoming): boolean {
--- a/packages/gateway/src/callers/Refusal.ts
+++ b/packages/gateway/src/callers/Refusal.ts
@@ -6,6 +6,7 @@
   | 'no-target'
   | 'overloaded'
   | 'rate-limited'
+  | 'targets-resting'
   | 'unreachable'
   | 'refused-by-targets'
   | 'held-back'
@@ -57,6 +58,12 @@
     retryAfterMilliseconds: 500,
     meaning: 'the rate limits of the targets leave no room',
   },
+  'targets-resting': {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 1_000,
+    meaning: 'all targets have asked this daemon for a rest',
+  },
   unreachable: {
     status: 503,
     isNotRun: true,
--- a/packages/gateway/src/connections/TargetAttempt.ts
+++ b/packages/gateway/src/connections/TargetAttempt.ts
@@ -1,7 +1,7 @@
 /** The request and the result of one attempt at a target. */
 import type { Readable } from 'node:stream';
 import type { HeaderField } from '@cactusrun/requests';
-import type { RequestRate } from '../limits/TargetRateLimits.js';
+import type { TargetStatement } from '../state/TargetStatement.js';
 
 export type HeaderFields = readonly HeaderField[];
 
@@ -29,10 +29,8 @@
   /** The whole body, or its first part when `bodyRest` follows. */
   readonly bodyStart: Buffer;
   readonly bodyRest: Readable | undefined;
-  /** Requests that ran and waited at the target when it answered, if it reports them. */
-  readonly reportedRequests: number | undefined;
-  /** Rate limit that the target states; undefined when it cannot be read. */
-  readonly rateLimit: RequestRate | undefined;
+  /** What the target states of itself. */
+  readonly stated: TargetStatement;
   /** Whether the body is framed explicitly, rather than ended by the end of the connection. */
   readonly isFramed: boolean;
   /** Whether the answer carries the signature field that marks a genuine answer. */
@@ -45,7 +43,7 @@
   | {
       readonly kind: 'not-run';
       readonly reason: 'full' | 'other-target' | 'refused';
-      readonly rateLimit: RequestRate | undefined;
+      readonly stated: TargetStatement;
     }
   /** No byte of the request was written. */
   | { readonly kind: 'not-sent'; readonly detail: string; readonly isRefused: boolean }
@@ -64,5 +62,7 @@
   readonly notRun: string;
   readonly load: string;
   readonly rateLimit: string;
+  /** Set in the answers of a target that is about to shut down. */
+  readonly leaving: string;
   readonly signature: string;
 }
--- a/packages/gateway/src/connections/TargetExchange.ts
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -9,7 +9,7 @@
 import { PassThrough } from 'node:stream';
 import type { Clock, Counters } from '@cactusrun/core';
 import { discardBody } from '@cactusrun/requests';
-import type { RequestRate } from '../limits/TargetRateLimits.js';
+import type { RequestRate } from '../state/TargetStatement.js';
 import AnswerCutError from './AnswerCutError.js';
 import { RECENT_USE_MILLISECONDS } from './IdleReuse.js';
 import {
@@ -134,7 +134,7 @@
       this.readBody(response);
       return;
     }
-    this.checkRateLimit(refusal.rateLimit);
+    if (refusal.reason !== 'other-target') this.checkRateLimit(refusal.stated.rateLimit);
     // The head alone proves that the request was not run; the body may be long or have no end.
     this.settle(refusal);
     discardBody(response, this.parts.clock, () => this.destroy());
@@ -146,7 +146,7 @@
     const finish = () => {
       const start = Buffer.concat(chunks);
       const answer = readTargetAnswer(response, this.parts.names, start, this.bodyRest);
-      this.checkRateLimit(answer.rateLimit);
+      this.checkRateLimit(answer.stated.rateLimit);
       this.settle({ kind: 'answered', answer });
     };
     const onData = (chunk: Buffer) => {
--- a/packages/gateway/src/connections/readTargetAnswer.ts
+++ b/packages/gateway/src/connections/readTargetAnswer.ts
@@ -2,7 +2,8 @@
 import type { IncomingMessage } from 'node:http';
 import type { PassThrough } from 'node:stream';
 import { endToEndHeaders, listHeaders } from '@cactusrun/requests';
-import type { RequestRate } from '../limits/TargetRateLimits.js';
+import type { RequestRate, TargetStatement } from '../state/TargetStatement.js';
+import { NOTHING_STATED } from '../state/TargetStatement.js';
 import type { AttemptResult, TargetAnswer, TargetFieldNames } from './TargetAttempt.js';
 
 /** Connections are abandoned this long before the idle timeout that the target states. */
@@ -13,6 +14,7 @@
 const MISDIRECTED_STATUS = 421;
 const UNAVAILABLE_STATUS = 503;
 const DECIMAL_NUMBER = /^\d+(\.\d*)?$|^\.\d+$/;
+const LEAVING_VALUE = '1';
 const BODILESS_STATUSES: readonly number[] = [204, 304];
 
 /** Returns the refusal if the target states that it did not run the request. */
@@ -20,15 +22,15 @@
   response: IncomingMessage,
   names: TargetFieldNames,
 ): Extract<AttemptResult, { kind: 'not-run' }> | undefined {
-  const rateLimit = readRateLimit(fieldOf(response, names.rateLimit));
+  const stated = readStatement(response, names);
   if (response.statusCode === MISDIRECTED_STATUS) {
-    return { kind: 'not-run', reason: 'other-target', rateLimit };
+    return { kind: 'not-run', reason: 'other-target', stated: NOTHING_STATED };
   }
   if (fieldOf(response, names.notRun) === undefined) return undefined;
   return {
     kind: 'not-run',
     reason: response.statusCode === UNAVAILABLE_STATUS ? 'full' : 'refused',
-    rateLimit,
+    stated,
   };
 }
 
@@ -63,8 +65,7 @@
     fields: endToEndHeaders(listHeaders(response.rawHeaders), isFraming),
     bodyStart,
     bodyRest,
-    reportedRequests: readLoad(fieldOf(response, names.load)),
-    rateLimit: readRateLimit(fieldOf(response, names.rateLimit)),
+    stated: readStatement(response, names),
     isFramed:
       response.headers['content-length'] !== undefined ||
       response.headers['transfer-encoding'] !== undefined ||
@@ -81,6 +82,23 @@
   return Math.max(milliseconds / 2, milliseconds - IDLE_TIMEOUT_MARGIN_MILLISECONDS);
 }
 
+/** What the answer states of its target. */
+function readStatement(response: IncomingMessage, names: TargetFieldNames): TargetStatement {
+  const isRefusal = response.statusCode === UNAVAILABLE_STATUS;
+  return {
+    requests: readLoad(fieldOf(response, names.load)),
+    rateLimit: readRateLimit(fieldOf(response, names.rateLimit)),
+    isLeaving: fieldOf(response, names.leaving) === LEAVING_VALUE,
+    restMilliseconds: isRefusal ? readRest(response.headers['retry-after']) : undefined,
+  };
+}
+
+/** Milliseconds from a number of seconds; a date, which targets do not send, counts as none. */
+function readRest(text: string | undefined): number | undefined {
+  const isDecimal = text !== undefined && DECIMAL_NUMBER.test(text.trim());
+  return isDecimal ? Number(text) * MILLISECONDS_PER_SECOND : undefined;
+}
+
 /** Requests that run and wait at the target, from `running,waiting,slots`. */
 function readLoad(text: string | string[] | undefined): number | undefined {
   const [running, waiting] = typeof text === 'string' ? text.split(',').map(Number) : [];
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -53,6 +53,7 @@
 > = {
   full: 'overloaded',
   'rate-limited': 'rate-limited',
+  resting: 'targets-resting',
   'no-target': undefined,
 };
 
@@ -124,7 +125,7 @@
 
   private readonly relayHandlers: RelayHandlers = {
     answered: ({ answer }) => ({ kind: 'done', outcome: { kind: 'answered', answer } }),
-    refused: ({ reason }) => this.conclude(reason),
+    refused: ({ reason, freeInMilliseconds }) => this.conclude(reason, freeInMilliseconds),
     'no-peer': () => this.conclude('unreachable'),
     broken: () => this.handleFailure('connection-broke'),
     timeout: () => this.handleFailure('timeout'),
@@ -155,7 +156,8 @@
     const picked = this.pick();
     if (picked.kind !== 'picked') {
       this.log.recordUnplaced(picked, remaining, this.excluded.size);
-      return this.conclude(UNPLACED_REASONS[picked.kind] ?? this.lastReason);
+      const freeIn = picked.kind === 'resting' ? picked.freeInMilliseconds : undefined;
+      return this.conclude(UNPLACED_REASONS[picked.kind] ?? this.lastReason, freeIn);
     }
     if (this.failedAttempts > 0 && !this.withdrawRetry()) return this.conclude(this.lastReason);
     return this.send(picked.pick);
@@ -330,8 +332,8 @@
   }
 
   /** Ends the attempts: the caller gets the failure of a target, or a refusal if nothing ran. */
-  private conclude(reason: RefusalReason): Step {
-    return { kind: 'done', outcome: this.failure ?? refuse(reason) };
+  private conclude(reason: RefusalReason, freeInMilliseconds?: number): Step {
+    return { kind: 'done', outcome: this.failure ?? refuse(reason, freeInMilliseconds) };
   }
 }
 
--- a/packages/gateway/src/execution/RunningAttempt.ts
+++ b/packages/gateway/src/execution/RunningAttempt.ts
@@ -4,7 +4,8 @@
 import AnswerCutError from '../connections/AnswerCutError.js';
 import type AttemptTracker from '../health/AttemptTracker.js';
 import type { AttemptOutcome } from '../fleet/PeerMessage.js';
-import type { RequestRate } from '../limits/TargetRateLimits.js';
+import type { RequestRate, TargetStatement } from '../state/TargetStatement.js';
+import { NOTHING_STATED } from '../state/TargetStatement.js';
 import type TargetReachability from '../reachability/TargetReachability.js';
 import type ServiceTimes from '../placement/ServiceTimes.js';
 import type { AttemptResult, OutgoingRequest } from '../connections/TargetAttempt.js';
@@ -18,7 +19,6 @@
 const SILENCE_FACTOR = 1.5;
 const MINIMUM_SILENCE_MILLISECONDS = 300;
 export const SERVER_ERROR_STATUS = 500;
-const NOTHING_STATED = { requests: undefined, rateLimit: undefined };
 
 export interface AttemptParts {
   readonly attemptTracker: AttemptTracker;
@@ -115,8 +115,9 @@
   startedAt: number,
 ): void {
   reachability.recordContact('answer');
+  attemptTracker.recordNotice(entry, statementOf(result));
   const stated = {
-    requests: result.kind === 'answered' ? result.answer.reportedRequests : undefined,
+    requests: result.kind === 'answered' ? result.answer.stated.requests : undefined,
     rateLimit: rateLimitOf(result),
   };
   const end = (outcome: AttemptOutcome | undefined) =>
@@ -152,12 +153,16 @@
   return result.kind === 'answered' && result.answer.status < SERVER_ERROR_STATUS;
 }
 
+function statementOf(result: Heard): TargetStatement {
+  return result.kind === 'answered' ? result.answer.stated : result.stated;
+}
+
 /**
  * The rate limit that the target stated, if the result is evidence of one. Only a genuine answer
  * shows that there is none.
  */
 function rateLimitOf(result: Heard): RequestRate | undefined {
-  const rate = result.kind === 'answered' ? result.answer.rateLimit : result.rateLimit;
+  const { rateLimit: rate } = statementOf(result);
   const isGenuine = result.kind === 'answered' && result.answer.isSigned && isSuccessful(result);
   return rate === 'unlimited' && !isGenuine ? undefined : rate;
 }
--- a/packages/gateway/src/fleet/Heartbeat.ts
+++ b/packages/gateway/src/fleet/Heartbeat.ts
@@ -103,7 +103,9 @@
       .recipientsIn(this.round)
       .filter(({ addresses }) => addresses.length > 0)
       .forEach(({ addresses, pauseMilliseconds, isFull }) => {
-        const heartbeat = isFull ? full : { ...full, unhealthy: [], rateLimits: [] };
+        const heartbeat = isFull
+          ? full
+          : { ...full, unhealthy: [], rateLimits: [], departures: [] };
         link.send(addresses, { ...heartbeat, pauseMilliseconds });
       });
   }
--- a/packages/gateway/src/fleet/PeerCodec.ts
+++ b/packages/gateway/src/fleet/PeerCodec.ts
@@ -2,7 +2,7 @@
  * Encodes messages between daemons as JSON, the frequent kinds as lists of their fields in a fixed
  * order, since every byte between availability zones is paid for.
  */
-import type { RequestRate } from '../limits/TargetRateLimits.js';
+import type { RequestRate } from '../state/TargetStatement.js';
 import type {
   AttemptKind,
   AttemptOutcome,
@@ -19,6 +19,8 @@
 type ReportFields = ['calls', string, ReportRow[]];
 type UnhealthyRow = [string, number];
 type RateLimitRow = [string, number, number];
+/** Target and the start of its process. */
+type DepartureRow = [string, number];
 type HeartbeatFields = [
   'beat',
   string,
@@ -32,6 +34,7 @@
   UnhealthyRow[],
   RateLimitRow[]?,
   number?,
+  DepartureRow[]?,
 ];
 
 const KINDS: readonly string[] = [
@@ -40,6 +43,7 @@
   'peers',
   'calls',
   'news',
+  'departures',
   'crash',
 ] satisfies readonly PeerMessageKind[];
 
@@ -149,6 +153,7 @@
       age,
     ]),
     heartbeat.isCutOff ? 1 : 0,
+    heartbeat.departures.map(({ target, bornAt }): DepartureRow => [target, bornAt]),
   ];
 }
 
@@ -167,8 +172,8 @@
 
 function unpackHeartbeat(fields: HeartbeatFields): HeartbeatMessage | undefined {
   const [, sender, incarnation, stateNumber, pauseMilliseconds, ...rest] = fields;
-  const [configuration, targets, ageMilliseconds, outstanding, rows, limitRows = [], cutOff = 0] =
-    rest;
+  const [configuration, targets, ageMilliseconds, outstanding, rows, ...later] = rest;
+  const [limitRows = [], cutOff = 0, departureRows = []] = later;
   const state = STATES[stateNumber];
   if (state === undefined) return undefined;
   return {
@@ -186,5 +191,6 @@
       rate: decodeRate(rate),
       ageMilliseconds: age,
     })),
+    departures: departureRows.map(([target, bornAt]) => ({ target, bornAt })),
   };
 }
--- a/packages/gateway/src/fleet/PeerMessage.ts
+++ b/packages/gateway/src/fleet/PeerMessage.ts
@@ -1,7 +1,7 @@
 /** Messages that daemons send one another by datagrams. Any may be lost, delayed or duplicated. */
-import type { RateLimitReport, RequestRate } from '../limits/TargetRateLimits.js';
 import type { StorePosition } from '../state/GatewayStore.js';
 import type { TargetChange } from '../state/TargetEntry.js';
+import type { RequestRate } from '../state/TargetStatement.js';
 
 export type DaemonState = 'starting' | 'ready' | 'leaving';
 
@@ -40,6 +40,21 @@
   readonly ageMilliseconds: number;
 }
 
+/** What a daemon knows of the rate limit of a target. */
+export interface RateLimitReport {
+  readonly target: string;
+  readonly rate: RequestRate;
+  /** Milliseconds since the target stated it. */
+  readonly ageMilliseconds: number;
+}
+
+/** A process of a target that is leaving. */
+export interface Departure {
+  readonly target: string;
+  /** Milliseconds since the epoch at which the process started. */
+  readonly bornAt: number;
+}
+
 /** The versions of the persistent data that a daemon has. */
 export interface KnownVersions {
   readonly configuration: number;
@@ -96,6 +111,8 @@
       readonly unhealthy: readonly UnhealthyTarget[];
       /** Rate limits of targets; filled like `unhealthy`. */
       readonly rateLimits: readonly RateLimitReport[];
+      /** Targets that stated that they are leaving; filled like `unhealthy`. */
+      readonly departures: readonly Departure[];
     }
   /** Daemons that the sender knows, so that all daemons discover one another. */
   | { readonly kind: 'peers'; readonly sender: string; readonly peers: readonly PeerAddress[] }
@@ -113,6 +130,12 @@
       readonly after: StorePosition;
       readonly changes: readonly TargetChange[];
     }
+  /** Targets that stated that they are leaving. */
+  | {
+      readonly kind: 'departures';
+      readonly sender: string;
+      readonly departures: readonly Departure[];
+    }
   /** A request broke the connections to this many targets. */
   | {
       readonly kind: 'crash';
--- a/packages/gateway/src/health/AttemptTracker.ts
+++ b/packages/gateway/src/health/AttemptTracker.ts
@@ -6,12 +6,15 @@
 import type EntryDirectory from '../fleet/EntryDirectory.js';
 import type FailureRates from './FailureRates.js';
 import type IdleReuse from '../connections/IdleReuse.js';
+import type DepartingTargets from '../limits/DepartingTargets.js';
+import type TargetRests from '../limits/TargetRests.js';
 import type TargetRateLimits from '../limits/TargetRateLimits.js';
-import type { RequestRate } from '../limits/TargetRateLimits.js';
 import type OutstandingRequests from '../placement/OutstandingRequests.js';
 import type { PeerSender } from '../fleet/PeerLink.js';
 import type { AttemptOutcome, AttemptReport } from '../fleet/PeerMessage.js';
 import type RetryBudgetShares from '../execution/RetryBudgetShares.js';
+import type { TargetEntry } from '../state/TargetEntry.js';
+import type { TargetStatement } from '../state/TargetStatement.js';
 import type { Observation } from './TargetHealthEstimate.js';
 import type TargetTable from '../state/TargetTable.js';
 import type { KnownTarget } from '../state/TargetTable.js';
@@ -42,13 +45,6 @@
   dropped: 'dropped',
 };
 
-/** What a target states of itself in its answer. */
-export interface TargetStatement {
-  /** Requests that run or wait there. */
-  readonly requests: number | undefined;
-  readonly rateLimit: RequestRate | undefined;
-}
-
 export interface AttemptTrackerParts {
   readonly selfName: string;
   readonly targets: TargetTable;
@@ -57,6 +53,8 @@
   readonly idleReuse: IdleReuse;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly rateLimits: TargetRateLimits;
+  readonly departures: DepartingTargets;
+  readonly rests: TargetRests;
   readonly directory: EntryDirectory;
   readonly link: PeerSender;
   readonly clock: Clock;
@@ -98,7 +96,7 @@
     id: string,
     outcome: AttemptOutcome | undefined,
     elapsedMilliseconds: number,
-    { requests, rateLimit }: TargetStatement,
+    { requests, rateLimit }: Pick<TargetStatement, 'requests' | 'rateLimit'>,
   ): void {
     const outstanding = this.parts.outstanding.add(id, -1);
     const now = this.parts.clock.now();
@@ -118,6 +116,19 @@
     });
   }
 
+  /** Records that the target wants no requests, from anyone or from this daemon for a time. */
+  public recordNotice(
+    { id: target, bornAt }: TargetEntry,
+    { isLeaving, restMilliseconds }: TargetStatement,
+  ): void {
+    const { departures, rests, link, directory, selfName: sender } = this.parts;
+    if (restMilliseconds === undefined) rests.recordTaken(target, bornAt);
+    else rests.record(target, bornAt, restMilliseconds);
+    if (!isLeaving || !departures.record({ target, bornAt }, 'own')) return;
+    const told = [{ target, bornAt }];
+    link.send(directory.entryAddresses(), { kind: 'departures', sender, departures: told });
+  }
+
   /** Records that an attempt of this daemon takes unusually long. */
   public recordStall(id: string): void {
     this.parts.counters.add('steering', 'stalled');
--- a/packages/gateway/src/limits/TargetRateLimits.ts
+++ b/packages/gateway/src/limits/TargetRateLimits.ts
@@ -5,21 +5,12 @@
  * lasts until the target answers without one, also while its registry entry is missing.
  */
 import type { Clock, Counters, Logger, Random } from '@cactusrun/core';
+import type { RateLimitReport } from '../fleet/PeerMessage.js';
 import type { TargetEntry } from '../state/TargetEntry.js';
+import type { RequestRate } from '../state/TargetStatement.js';
 import type RateLimitShare from './RateLimitShare.js';
 import TokenBucket from './TokenBucket.js';
 
-/** The most requests per second that a target takes, as it states itself. */
-export type RequestRate = number | 'unlimited';
-
-/** What a daemon knows of the rate limit of a target, as it tells its peers. */
-export interface RateLimitReport {
-  readonly target: string;
-  readonly rate: RequestRate;
-  /** Milliseconds since the target stated it. */
-  readonly ageMilliseconds: number;
-}
-
 interface TargetRateLimit {
   readonly rate: RequestRate;
   /** Monotonic time since which all answers have stated a limit. */
--- a/packages/gateway/src/placement/TargetPicker.ts
+++ b/packages/gateway/src/placement/TargetPicker.ts
@@ -11,9 +11,9 @@
 import type ServiceTimes from './ServiceTimes.js';
 import type TargetCoverage from './TargetCoverage.js';
 import type { DueReason } from './TargetCoverage.js';
+import type TargetAdmission from '../limits/TargetAdmission.js';
 import type TargetTable from '../state/TargetTable.js';
 import type { KnownTarget } from '../state/TargetTable.js';
-import type { TargetEntry } from '../state/TargetEntry.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Probability per second that the target becomes unhealthy before it starts a waiting request. */
@@ -78,6 +78,8 @@
   | { readonly kind: 'no-target' }
   /** The rate limits of all targets are used up. */
   | { readonly kind: 'rate-limited' }
+  /** All targets have asked this daemon for a rest; the first one ends after this time. */
+  | { readonly kind: 'resting'; readonly freeInMilliseconds: number }
   /** No target is expected to answer in time. */
   | { readonly kind: 'full'; readonly expectedMilliseconds: number };
 
@@ -86,6 +88,8 @@
   readonly region: string;
 }
 
+type Admission = { [Question in 'denialOf' | 'isUnproven']: TargetAdmission[Question] };
+
 export interface TargetPickerParts {
   /** Location of this daemon. */
   readonly location: Location;
@@ -94,8 +98,8 @@
   readonly outstanding: OutstandingRequests;
   readonly serviceTimes: ServiceTimes;
   readonly coverage: TargetCoverage;
-  /** Whether the rate limit of the target allows a request now. */
-  readonly hasRoom: (target: TargetEntry) => boolean;
+  /** Whether a target may be sent to now. */
+  readonly admission: Admission;
   /** Whether a request to the target would be sent on an open connection. */
   readonly hasConnection: (target: string, kind: 'repeatable' | 'once') => boolean;
   readonly clock: Clock;
@@ -110,10 +114,15 @@
     const usable = this.parts.targets
       .usable(query.service)
       .filter(({ entry }) => !query.excluded.has(entry.id));
-    const withRoom = usable.filter(({ entry }) => this.parts.hasRoom(entry));
-    if (withRoom.length === 0) return { kind: usable.length > 0 ? 'rate-limited' : 'no-target' };
-    const reachable = withRoom.filter(({ blockedUntil }) => blockedUntil <= now);
-    const candidates = reachable.length > 0 ? reachable : withRoom;
+    const admitted = usable.filter(({ entry }) => !this.parts.admission.denialOf(entry));
+    if (admitted.length === 0) return this.explainDenials(query.service, usable, now);
+    const reachable = preferring(admitted, ({ blockedUntil }) => blockedUntil <= now);
+    // A retry is one of few attempts: it does not go where the next request may be turned away.
+    const isRetry = query.excluded.size > 0;
+    const candidates = preferring(
+      reachable,
+      ({ entry }) => !isRetry || !this.parts.admission.isUnproven(entry),
+    );
     const sameRegion = candidates.filter(({ entry }) => !this.isOtherRegion(entry.zone));
     const due = this.parts.coverage.due(query.service, sameRegion);
     const picks = candidates.map((target) => this.estimate(target, query.service, now, due));
@@ -126,6 +135,25 @@
     return { kind: 'full', expectedMilliseconds: shortest };
   }
 
+  /**
+   * Why no target may be sent to.
+   *
+   * @param usable - the targets that have not received the request yet
+   */
+  private explainDenials(service: string, usable: readonly KnownTarget[], now: number): PickResult {
+    const denialsOf = (targets: readonly KnownTarget[]) =>
+      targets.flatMap(({ entry }) => this.parts.admission.denialOf(entry) ?? []);
+    if (denialsOf(usable).some(({ kind }) => kind === 'rate-limited')) {
+      return { kind: 'rate-limited' };
+    }
+    const restEnds = denialsOf(this.parts.targets.usable(service)).flatMap((denial) =>
+      denial.kind === 'resting' ? [denial.until] : [],
+    );
+    return restEnds.length === 0
+      ? { kind: 'no-target' }
+      : { kind: 'resting', freeInMilliseconds: Math.min(...restEnds) - now };
+  }
+
   private cheapest(picks: readonly Pick[], query: PickQuery): Pick | undefined {
     return picks
       .map((pick) => ({ pick, cost: this.costOf(pick, query) }))
@@ -207,3 +235,12 @@
     return this.parts.regionOf(zone) !== this.parts.location.region;
   }
 }
+
+/** The targets that meet the condition, or all of them if none does. */
+function preferring(
+  targets: readonly KnownTarget[],
+  isPreferred: (target: KnownTarget) => boolean,
+): readonly KnownTarget[] {
+  const preferred = targets.filter(isPreferred);
+  return preferred.length > 0 ? preferred : targets;
+}
--- a/packages/gateway/src/relay/PeerRelay.ts
+++ b/packages/gateway/src/relay/PeerRelay.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock, Counters, Logger, Random } from '@cactusrun/core';
 import { shuffle } from '@cactusrun/core';
-import type { CallerExchange } from '../callers/CallerExchange.js';
+import type { CallerExchange, Refused } from '../callers/CallerExchange.js';
 import type { RefusalReason } from '../callers/Refusal.js';
 import type { AttemptResult, TargetAnswer } from '../connections/TargetAttempt.js';
 import type TargetConnections from '../connections/TargetConnections.js';
@@ -34,7 +34,7 @@
 export type RelayResult =
   | { readonly kind: 'answered'; readonly answer: TargetAnswer }
   /** The peer itself refused the request, with the reason that the caller is to get. */
-  | { readonly kind: 'refused'; readonly reason: RefusalReason }
+  | ({ readonly kind: 'refused' } & Refused)
   /** No peer took the request, which was not run. */
   | { readonly kind: 'no-peer' }
   | Extract<AttemptResult, { kind: 'broken' | 'timeout' | 'cancelled' }>;
@@ -140,7 +140,7 @@
   if (result.kind === 'not-sent' || result.kind === 'not-run') return { kind: 'not-taken' };
   if (result.kind === 'dropped') return { kind: 'broken', detail: result.detail };
   if (result.kind !== 'answered') return result;
-  const reason = decodeRefusal(result.answer.fields);
-  if (reason === undefined) return result;
-  return PEER_FAULTS.has(reason) ? { kind: 'not-taken' } : { kind: 'refused', reason };
+  const refused = decodeRefusal(result.answer.fields);
+  if (refused === undefined) return result;
+  return PEER_FAULTS.has(refused.reason) ? { kind: 'not-taken' } : { kind: 'refused', ...refused };
 }
--- a/packages/gateway/src/relay/RelayField.ts
+++ b/packages/gateway/src/relay/RelayField.ts
@@ -1,5 +1,6 @@
 /** Header fields of requests that a daemon relays to a peer, and of the peer's refusals. */
 import type { IncomingHttpHeaders } from 'node:http';
+import type { Refused } from '../callers/CallerExchange.js';
 import type { RefusalReason } from '../callers/Refusal.js';
 import { REFUSAL_RULES } from '../callers/Refusal.js';
 import type { HeaderFields } from '../connections/TargetAttempt.js';
@@ -10,6 +11,8 @@
 const VERSION_FIELD = 'cactusrun-configuration';
 /** Reason of the peer's own refusal; targets' answers have none. */
 const REFUSAL_FIELD = 'cactusrun-refusal';
+/** Milliseconds until a target can take the request, with a refusal. */
+const FREE_IN_FIELD = 'cactusrun-free-in';
 
 /** What the relaying daemon states of a request. */
 export interface RelayStatement {
@@ -17,7 +20,12 @@
   readonly configurationVersion: number;
 }
 
-const RELAY_FIELDS: readonly string[] = [ATTEMPTS_FIELD, VERSION_FIELD, REFUSAL_FIELD];
+const RELAY_FIELDS: readonly string[] = [
+  ATTEMPTS_FIELD,
+  VERSION_FIELD,
+  REFUSAL_FIELD,
+  FREE_IN_FIELD,
+];
 
 /** Whether only daemons may set the field; those of callers and targets are removed. */
 export function isRelayField(name: string): boolean {
@@ -39,16 +47,25 @@
   };
 }
 
-export function encodeRefusal(reason: RefusalReason): readonly string[] {
-  return [REFUSAL_FIELD, reason];
+export function encodeRefusal({ reason, freeInMilliseconds }: Refused): readonly string[] {
+  const freeIn =
+    freeInMilliseconds === undefined ? [] : [FREE_IN_FIELD, String(freeInMilliseconds)];
+  return [REFUSAL_FIELD, reason, ...freeIn];
 }
 
-/** The reason of a refusal by the peer; undefined for a target's answer. */
-export function decodeRefusal(fields: HeaderFields): RefusalReason | undefined {
-  const stated = fields.find(([name]) => name.toLowerCase() === REFUSAL_FIELD)?.[1];
-  return stated !== undefined && Object.hasOwn(REFUSAL_RULES, stated)
-    ? (stated as RefusalReason)
-    : undefined;
+/** A refusal by the peer; undefined for a target's answer. */
+export function decodeRefusal(fields: HeaderFields): Refused | undefined {
+  const reason = valueOf(fields, REFUSAL_FIELD);
+  if (reason === undefined || !Object.hasOwn(REFUSAL_RULES, reason)) return undefined;
+  const freeInMilliseconds = readNumber(valueOf(fields, FREE_IN_FIELD));
+  return {
+    reason: reason as RefusalReason,
+    ...(freeInMilliseconds > 0 ? { freeInMilliseconds } : {}),
+  };
+}
+
+function valueOf(fields: HeaderFields, wanted: string): string | undefined {
+  return fields.find(([name]) => name.toLowerCase() === wanted)?.[1];
 }
 
 function readNumber(text: string | string[] | undefined): number {
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -21,6 +21,9 @@
 import ServiceTimes from '../placement/ServiceTimes.js';
 import TargetConnections from '../connections/TargetConnections.js';
 import TargetCoverage from '../placement/TargetCoverage.js';
+import DepartingTargets from '../limits/DepartingTargets.js';
+import TargetAdmission from '../limits/TargetAdmission.js';
+import TargetRests from '../limits/TargetRests.js';
 import TargetRateLimits from '../limits/TargetRateLimits.js';
 import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../health/TargetHealthEstimate.js';
 import TargetPicker from '../placement/TargetPicker.js';
@@ -40,6 +43,9 @@
   readonly idleReuse: IdleReuse;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly rateLimits: TargetRateLimits;
+  readonly departures: DepartingTargets;
+  readonly rests: TargetRests;
+  readonly admission: TargetAdmission;
   readonly members: FleetMembers;
   readonly directory: EntryDirectory;
   readonly state: GatewayState;
@@ -86,6 +92,9 @@
   const { region, regions } = options;
   const share = new RateLimitShare({ region, regions, members, directory });
   const rateLimits = new TargetRateLimits({ share, clock, random, counters, logger });
+  const departures = new DepartingTargets({ clock, counters, logger });
+  const rests = new TargetRests({ clock, counters, logger });
+  const admission = new TargetAdmission({ departures, rests, rateLimits });
   const countMembers = () => members.countFleet();
   const retryBudgetShares = new RetryBudgetShares(options.retryBudget, countMembers, clock);
   const state = new GatewayState(options.decode, targets, clock, logger, (changes) => {
@@ -94,6 +103,7 @@
       connections.forget(change.id);
       outstanding.forgetTarget(change.id);
       serviceTimes.forget(change.id);
+      rests.forget(change.id);
     });
   });
   return {
@@ -108,6 +118,9 @@
     idleReuse,
     retryBudgetShares,
     rateLimits,
+    departures,
+    rests,
+    admission,
     members,
     directory,
     state,
@@ -128,7 +141,7 @@
     outstanding: sharedState.outstanding,
     serviceTimes: sharedState.serviceTimes,
     coverage: new TargetCoverage(clock, sharedState.failures, options.floorShare),
-    hasRoom: (target) => sharedState.rateLimits.hasRoom(target),
+    admission: sharedState.admission,
     hasConnection: (target, kind) => sharedState.connections.hasIdle(target, kind),
     clock,
     random,
