Suspect a daemon's own links only after a while, or eight refused connections

What callers would have seen: while many targets crash at once, two refused connections within 2 ms sent a request to a peer, which met two crashed targets as well and refused it, as did the next ones: 503 after six connections, where eight local ones would have reached a target.

Now two connections must have failed 100 ms apart, or eight at all, with none established in between. The check tries eight further targets instead of four before its verdict.

--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -20,8 +20,12 @@
 
 /** Failed connections after which a request is refused. */
 const MAXIMUM_FAILED_CONNECTIONS = 8;
-/** Failed connections after which a request is relayed, unless one to another target succeeds. */
-const FAILED_CONNECTIONS_BEFORE_RELAY = 2;
+/**
+ * So many failed connections with so much time between them raise the suspicion that this daemon's own
+ * links have failed, unless one to another target succeeds meanwhile.
+ */
+const SUSPICION_CONNECTIONS = 2;
+const SUSPICION_MILLISECONDS = 100;
 /** Remaining time below which no further attempt is made. */
 const MINIMUM_REMAINING_MILLISECONDS = 30;
 const REDIRECT_STATUS = 300;
@@ -107,9 +111,7 @@
       this.failedConnections += 1;
       this.firstUnreachedAt ??= this.parts.clock.now();
       this.lastReason = 'unreachable';
-      return this.failedConnections < MAXIMUM_FAILED_CONNECTIONS
-        ? RETRY
-        : this.conclude('unreachable');
+      return RETRY;
     },
     broken: (_result, target) => {
       this.parts.crashes.recordCrash(this.plan.fingerprint, target);
@@ -153,6 +155,7 @@
     if (this.lacksTargets()) {
       return this.canRelay() ? this.relay() : this.conclude('unreachable');
     }
+    if (this.failedConnections >= MAXIMUM_FAILED_CONNECTIONS) return this.conclude('unreachable');
     const picked = this.pick();
     if (picked.kind !== 'picked') {
       this.log.recordUnplaced(picked, remaining, this.excluded.size);
@@ -165,12 +168,22 @@
 
   /** Whether this daemon, rather than some targets, is the one that cannot be reached. */
   private lacksTargets(): boolean {
-    const { reachability } = this.parts;
     const isRelayed = this.plan.exchange.relayed !== undefined;
-    const hasDoubt =
-      this.failedConnections >= FAILED_CONNECTIONS_BEFORE_RELAY &&
-      !reachability.hasConnectedSince(this.firstUnreachedAt ?? 0);
-    return (reachability.isCutOff || hasDoubt) && (isRelayed || this.canRelay());
+    return (
+      this.parts.reachability.isCutOff ||
+      (this.suspectsOwnLinks() && (isRelayed || this.canRelay()))
+    );
+  }
+
+  private suspectsOwnLinks(): boolean {
+    const { clock, reachability } = this.parts;
+    const since = this.firstUnreachedAt;
+    if (since === undefined || reachability.hasConnectedSince(since)) return false;
+    const isLong = clock.now() - since >= SUSPICION_MILLISECONDS;
+    return (
+      this.failedConnections >= MAXIMUM_FAILED_CONNECTIONS ||
+      (isLong && this.failedConnections >= SUSPICION_CONNECTIONS)
+    );
   }
 
   /** A relayed request is not relayed again, and one that may have run only if it is idempotent. */
@@ -223,7 +236,8 @@
     const first = this.start(pick);
     const ended = first.result.then(() => true);
     const hasEnded = await Promise.race([ended, first.stalled.then(() => false)]);
-    if (!hasEnded && this.lacksTargets() && this.isIdempotent()) return this.abandon(first);
+    const mayRelay = this.parts.reachability.isCutOff && this.isIdempotent() && this.canRelay();
+    if (!hasEnded && mayRelay) return this.abandon(first);
     const second = hasEnded ? undefined : this.hedge();
     return second === undefined ? this.settle(first) : this.settleEither(first, second);
   }
--- a/packages/gateway/src/reachability/TargetReachability.ts
+++ b/packages/gateway/src/reachability/TargetReachability.ts
@@ -24,7 +24,7 @@
 /** Time after a failure in which a contact makes a check needless. */
 const CONFIRMATION_MILLISECONDS = 100;
 /** Targets that must be unreachable, besides the first one, for the daemon to count as cut off. */
-const CONFIRMING_TARGETS = 4;
+const CONFIRMING_TARGETS = 8;
 
 /** How a target was reached: a new connection was established, or it answered. */
 export type ContactKind = 'connection' | 'answer';
