Bound relays by the attempts of the route; split RequestExecution

An idempotent request whose peers kept breaking off was relayed again and again until its deadline: each peer counted the attempts that were made before, but a peer that breaks off cannot refuse. Found by reading; the relaying daemon now counts as well.

--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -5,6 +5,9 @@
 import type { Counters, Logger } from '@cactusrun/core';
 import type { CrashTracker } from '@cactusrun/requests';
 import AttemptLog from './AttemptLog.js';
+import ConnectionFailures from './ConnectionFailures.js';
+import type { AnswerVerdict } from './judgeAnswer.js';
+import { judgeAnswer } from './judgeAnswer.js';
 import type { CallerExchange, CallerOutcome } from '../callers/CallerExchange.js';
 import { refuse } from '../callers/CallerExchange.js';
 import type { GatewayRoute } from '../state/GatewayConfiguration.js';
@@ -13,22 +16,13 @@
 import type { RelayResult } from '../relay/PeerRelay.js';
 import type RetryBudgetShares from './RetryBudgetShares.js';
 import type { AttemptParts, RunningAttempt } from './RunningAttempt.js';
-import { isSuccessful, SERVER_ERROR_STATUS, startAttempt } from './RunningAttempt.js';
+import { isSuccessful, startAttempt } from './RunningAttempt.js';
 import type { AttemptResult, OutgoingRequest, TargetAnswer } from '../connections/TargetAttempt.js';
 import type TargetPicker from '../placement/TargetPicker.js';
 import type { Pick, PickResult } from '../placement/TargetPicker.js';
 
-/** Failed connections after which a request is refused. */
-const MAXIMUM_FAILED_CONNECTIONS = 8;
-/**
- * So many failed connections with so much time between them raise the suspicion that this daemon's own
- * links have failed, unless one to another target succeeds meanwhile.
- */
-const SUSPICION_CONNECTIONS = 2;
-const SUSPICION_MILLISECONDS = 100;
 /** Remaining time below which no further attempt is made. */
 const MINIMUM_REMAINING_MILLISECONDS = 30;
-const REDIRECT_STATUS = 300;
 
 export interface RequestExecutionParts extends AttemptParts {
   readonly picker: TargetPicker;
@@ -85,10 +79,7 @@
 
   private attemptsInProgress = 0;
 
-  private failedConnections = 0;
-
-  /** Monotonic time of the first failed connection. */
-  private firstUnreachedAt: number | undefined;
+  private readonly connectionFailures: ConnectionFailures;
 
   /** Set after the request was sent on an idle connection that the target had dropped. */
   private needsNewConnection = false;
@@ -108,8 +99,7 @@
       return RETRY;
     },
     'not-sent': () => {
-      this.failedConnections += 1;
-      this.firstUnreachedAt ??= this.parts.clock.now();
+      this.connectionFailures.record();
       this.lastReason = 'unreachable';
       return RETRY;
     },
@@ -134,11 +124,30 @@
     cancelled: () => ({ kind: 'done', outcome: { kind: 'cancelled' } }),
   };
 
+  private readonly answerHandlers: Readonly<Record<AnswerVerdict, (answer: TargetAnswer) => Step>> =
+    {
+      final: (answer) => ({ kind: 'done', outcome: { kind: 'answered', answer } }),
+      error: (answer) => {
+        this.keepAsFailure(answer);
+        const isRetriable = this.isIdempotent() && answer.bodyRest === undefined;
+        return isRetriable ? RETRY : this.conclude(this.lastReason);
+      },
+      'not-genuine': (answer) => {
+        answer.bodyRest?.destroy();
+        return this.handleFailure('unsigned-answer');
+      },
+      closing: (answer) => {
+        this.keepAsFailure(answer);
+        return RETRY;
+      },
+    };
+
   constructor(
     private readonly parts: RequestExecutionParts,
     private readonly plan: ExecutionPlan,
   ) {
     this.log = new AttemptLog(parts, plan.exchange.id, plan.service);
+    this.connectionFailures = new ConnectionFailures(parts.reachability, parts.clock);
     this.failedAttempts = plan.exchange.relayed?.attemptsMade ?? 0;
   }
 
@@ -155,7 +164,7 @@
     if (this.lacksTargets()) {
       return this.canRelay() ? this.relay() : this.conclude('unreachable');
     }
-    if (this.failedConnections >= MAXIMUM_FAILED_CONNECTIONS) return this.conclude('unreachable');
+    if (this.connectionFailures.isExhausted) return this.conclude('unreachable');
     const picked = this.pick();
     if (picked.kind !== 'picked') {
       this.log.recordUnplaced(picked, remaining, this.excluded.size);
@@ -168,29 +177,17 @@
 
   /** Whether this daemon, rather than some targets, is the one that cannot be reached. */
   private lacksTargets(): boolean {
+    if (this.parts.reachability.isCutOff) return true;
     const isRelayed = this.plan.exchange.relayed !== undefined;
-    return (
-      this.parts.reachability.isCutOff ||
-      (this.suspectsOwnLinks() && (isRelayed || this.canRelay()))
-    );
-  }
-
-  private suspectsOwnLinks(): boolean {
-    const { clock, reachability } = this.parts;
-    const since = this.firstUnreachedAt;
-    if (since === undefined || reachability.hasConnectedSince(since)) return false;
-    const isLong = clock.now() - since >= SUSPICION_MILLISECONDS;
-    return (
-      this.failedConnections >= MAXIMUM_FAILED_CONNECTIONS ||
-      (isLong && this.failedConnections >= SUSPICION_CONNECTIONS)
-    );
+    return this.connectionFailures.suggestCutOff && (isRelayed || this.canRelay());
   }
 
   /** A relayed request is not relayed again, and one that may have run only if it is idempotent. */
   private canRelay(): boolean {
     const { exchange, route } = this.plan;
-    const mayRun = this.failedAttempts === 0 || route.kind === 'idempotent';
-    return exchange.relayed === undefined && mayRun && this.parts.relay.isAvailable;
+    if (exchange.relayed !== undefined || !this.parts.relay.isAvailable) return false;
+    if (this.failedAttempts === 0) return true;
+    return this.isIdempotent() && this.failedAttempts < route.maximumAttempts;
   }
 
   /** Has a peer execute the request, which counts its retries there. */
@@ -308,40 +305,22 @@
   }
 
   private handleAnswer(answer: TargetAnswer): Step {
-    this.parts.crashes.recordAnswer(this.plan.fingerprint);
-    if (answer.status >= SERVER_ERROR_STATUS) {
-      this.failedAttempts += 1;
-      this.failure = { kind: 'answered', answer };
-      const isRetriable = this.plan.route.kind === 'idempotent' && answer.bodyRest === undefined;
-      return isRetriable ? RETRY : { kind: 'done', outcome: this.failure };
-    }
-    const isGenuine = answer.isSigned || answer.status >= REDIRECT_STATUS;
-    if (!isGenuine) {
-      answer.bodyRest?.destroy();
-      return this.handleFailure('unsigned-answer');
-    }
-    if (!this.wouldCutOthers(answer))
-      return { kind: 'done', outcome: { kind: 'answered', answer } };
-    this.failedAttempts += 1;
-    this.failure = { kind: 'answered', answer };
-    return RETRY;
+    const { exchange, fingerprint } = this.plan;
+    this.parts.crashes.recordAnswer(fingerprint);
+    const verdict = judgeAnswer(answer, this.isIdempotent() && exchange.isFollowed());
+    return this.answerHandlers[verdict](answer);
   }
 
-  /**
-   * Whether the answer, which has no length, would end the connection while later requests of the
-   * caller are being executed. Another target's answer is preferred then, if there is one in time.
-   */
-  private wouldCutOthers(answer: TargetAnswer): boolean {
-    const { exchange, route } = this.plan;
-    const isWhole = answer.bodyRest === undefined;
-    return !answer.isFramed && isWhole && route.kind === 'idempotent' && exchange.isFollowed();
+  /** Keeps an answer that the caller gets if no other target has a better one. */
+  private keepAsFailure(answer: TargetAnswer): void {
+    this.failedAttempts += 1;
+    this.failure = { kind: 'answered', answer };
   }
 
   private handleFailure(reason: RefusalReason): Step {
     this.failedAttempts += 1;
     this.failure ??= refuse(reason);
-    const { route, fingerprint } = this.plan;
-    const isRetriable = route.kind === 'idempotent' && !this.parts.crashes.isHeld(fingerprint);
+    const isRetriable = this.isIdempotent() && !this.parts.crashes.isHeld(this.plan.fingerprint);
     return isRetriable ? RETRY : { kind: 'done', outcome: this.failure };
   }
 
--- a/packages/gateway/src/execution/RequestProxy.ts
+++ b/packages/gateway/src/execution/RequestProxy.ts
@@ -10,7 +10,7 @@
 import type { RefusalReason } from '../callers/Refusal.js';
 import type { RequestExecutionParts } from './RequestExecution.js';
 import RequestExecution from './RequestExecution.js';
-import { SERVER_ERROR_STATUS } from './RunningAttempt.js';
+import { SERVER_ERROR_STATUS } from './judgeAnswer.js';
 
 /** The caller is answered this long before its deadline. */
 const ANSWER_MARGIN_MILLISECONDS = 40;
--- a/packages/gateway/src/execution/RunningAttempt.ts
+++ b/packages/gateway/src/execution/RunningAttempt.ts
@@ -1,6 +1,7 @@
 /** One attempt: sends a request to the picked target, reports the outcome and detects a stall. */
 import { finished } from 'node:stream';
 import type { Clock } from '@cactusrun/core';
+import { SERVER_ERROR_STATUS } from './judgeAnswer.js';
 import AnswerCutError from '../connections/AnswerCutError.js';
 import type AttemptTracker from '../health/AttemptTracker.js';
 import type { AttemptOutcome } from '../fleet/PeerMessage.js';
@@ -18,7 +19,6 @@
 /** After this multiple of the expected time, an answer of any target shows that they are reached. */
 const SILENCE_FACTOR = 1.5;
 const MINIMUM_SILENCE_MILLISECONDS = 300;
-export const SERVER_ERROR_STATUS = 500;
 
 export interface AttemptParts {
   readonly attemptTracker: AttemptTracker;
