--- a/packages/gateway/src/__tests__/unit/requestRelay.test.ts
+++ b/packages/gateway/src/__tests__/unit/requestRelay.test.ts
@@ -102,6 +102,14 @@
   });
 
   describe('does not relay', () => {
+    it('an idempotent request more often than its route allows attempts', async () => {
+      await cutOff();
+      fixture.relayResult = { kind: 'broken', detail: 'reset' };
+      const outcome = await fixture.handle(fixture.createExchange('idempotent'));
+      expect(describeOutcome(outcome)).toBe('connection-broke');
+      expect(fixture.relayed).toHaveLength(2);
+    });
+
     it('a request that a peer has relayed, and refuses it at once', async () => {
       await cutOff();
       const exchange = fixture.createExchange('idempotent', { relayed: FROM_PEER });
