--- a/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
@@ -3,10 +3,10 @@
 import { PassThrough } from 'node:stream';
 import { Counters, createRandom, systemClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { NOTHING_STATED } from '../../state/TargetStatement.js';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
 import CallerServer from '../../callers/CallerServer.js';
 import type { TargetAnswer } from '../../connections/TargetAttempt.js';
+import createTargetAnswer from './createTargetAnswer.js';
 
 const HOST = '127.0.8.1';
 const PORT = 18_551;
@@ -62,16 +62,11 @@
       const answer = (change: Partial<TargetAnswer> = {}) =>
         resolve({
           kind: 'answered',
-          answer: {
-            status: 200,
+          answer: createTargetAnswer({
             fields: [['X-Attempt', exchange.id]],
             bodyStart: Buffer.from(`body of ${exchange.id}.`),
-            bodyRest: undefined,
-            stated: NOTHING_STATED,
-            isFramed: true,
-            isSigned: true,
             ...change,
-          },
+          }),
         });
       exchange.signal.addEventListener('abort', () => resolve({ kind: 'cancelled' }));
       held.push({
--- a/packages/gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -2,10 +2,10 @@
 import { connect } from 'node:net';
 import { Counters, createRandom, systemClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { NOTHING_STATED } from '../../state/TargetStatement.js';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
 import CallerServer from '../../callers/CallerServer.js';
 import type { TargetAnswer } from '../../connections/TargetAttempt.js';
+import createTargetAnswer from './createTargetAnswer.js';
 
 const HOST = '127.0.8.1';
 const PORT = 18_549;
@@ -17,17 +17,8 @@
 };
 
 function createAnswer(change: Partial<TargetAnswer> = {}): CallerOutcome {
-  const answer: TargetAnswer = {
-    status: 200,
-    fields: [['X-Signature', 's']],
-    bodyStart: Buffer.from('whole'),
-    bodyRest: undefined,
-    stated: NOTHING_STATED,
-    isFramed: true,
-    isSigned: true,
-    ...change,
-  };
-  return { kind: 'answered', answer };
+  const whole = { fields: [['X-Signature', 's']], bodyStart: Buffer.from('whole') } as const;
+  return { kind: 'answered', answer: createTargetAnswer({ ...whole, ...change }) };
 }
 
 describe('CallerServer', () => {
--- a/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
@@ -4,7 +4,6 @@
 import type { Clock } from '@cactusrun/core';
 import { Counters, createRandom, silentLogger, systemClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { NOTHING_STATED } from '../../state/TargetStatement.js';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
 import { refuse } from '../../callers/CallerExchange.js';
 import CallerServer from '../../callers/CallerServer.js';
@@ -15,7 +14,9 @@
 import type { PeerDescription } from '../../fleet/PeerMessage.js';
 import type { RelayedRequest } from '../../relay/PeerRelay.js';
 import PeerRelay from '../../relay/PeerRelay.js';
+import createTargetAnswer from './createTargetAnswer.js';
 import createPeerDescription from './createPeerDescription.js';
+import NAMES from './targetFieldNames.js';
 
 const HOST = '127.0.7.61';
 const PORTS = { first: 17_561, second: 17_562, silent: 17_563, closed: 17_564 } as const;
@@ -25,35 +26,17 @@
   headerMilliseconds: 5_000,
   idleMilliseconds: 5_000,
 };
-const NAMES = {
-  attemptId: 'X-Attempt',
-  deadline: 'X-Deadline',
-  expectedTarget: 'X-Expected',
-  notRun: 'X-Not-Run',
-  load: 'X-Load',
-  rateLimit: 'X-Rate-Limit',
-  leaving: 'X-Leaving',
-  signature: 'X-Signature',
-};
 const RESERVED = new Set(['x-attempt', 'x-deadline', 'x-expected']);
 /** Larger than what is buffered whole. */
 const LARGE_BYTES = 1_500_000;
 
 function createAnswer(change: Partial<TargetAnswer> = {}): CallerOutcome {
-  const answer: TargetAnswer = {
-    status: 200,
-    fields: [
-      ['X-Attempt', 'a'],
-      ['X-Signature', 's'],
-    ],
-    bodyStart: Buffer.from('body'),
-    bodyRest: undefined,
-    stated: NOTHING_STATED,
-    isFramed: true,
-    isSigned: true,
-    ...change,
-  };
-  return { kind: 'answered', answer };
+  const fields = [
+    ['X-Attempt', 'a'],
+    ['X-Signature', 's'],
+  ] as const;
+  const whole = { fields, bodyStart: Buffer.from('body') };
+  return { kind: 'answered', answer: createTargetAnswer({ ...whole, ...change }) };
 }
 
 describe('PeerRelay', () => {
--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -8,17 +8,7 @@
 import TargetConnections from '../../connections/TargetConnections.js';
 import type { TargetEntry } from '../../state/TargetEntry.js';
 import createTargetEntry from './createTargetEntry.js';
-
-const NAMES = {
-  attemptId: 'X-Attempt',
-  deadline: 'X-Deadline',
-  expectedTarget: 'X-Expected',
-  notRun: 'X-Not-Run',
-  load: 'X-Load',
-  rateLimit: 'X-Rate-Limit',
-  leaving: 'X-Leaving',
-  signature: 'X-Signature',
-};
+import NAMES from './targetFieldNames.js';
 
 type Script = (socket: Socket, attempt: string, count: number) => void;
 
--- a/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
@@ -10,17 +10,8 @@
 import { openConnection } from '../../connections/openConnection.js';
 import TargetConnections from '../../connections/TargetConnections.js';
 import createTargetEntry from './createTargetEntry.js';
+import NAMES from './targetFieldNames.js';
 
-const NAMES = {
-  attemptId: 'X-Attempt',
-  deadline: 'X-Deadline',
-  expectedTarget: 'X-Expected',
-  notRun: 'X-Not-Run',
-  load: 'X-Load',
-  rateLimit: 'X-Rate-Limit',
-  leaving: 'X-Leaving',
-  signature: 'X-Signature',
-};
 const DEADLINE_MILLISECONDS = 300;
 /** Time for bytes to arrive before the deadline passes. */
 const ARRIVAL_MILLISECONDS = 150;
