--- a/packages/gateway/src/relay/PeerRelay.ts
+++ b/packages/gateway/src/relay/PeerRelay.ts
@@ -50,6 +50,12 @@
 
 type Peer = PeerDescription & { readonly relayAddress: string };
 
+/** What came of a request at one peer. */
+type PeerResult =
+  | Exclude<RelayResult, { kind: 'no-peer' }>
+  /** The peer certainly did not run the request, and another one may. */
+  | { readonly kind: 'not-taken' };
+
 export default class PeerRelay {
   /** Monotonic time until which each peer is avoided. */
   private readonly avoidedUntil = new Map<string, number>();
@@ -92,7 +98,7 @@
   private async sendTo(
     peer: Peer,
     { exchange, kind, deadline, statement }: RelayedRequest,
-  ): Promise<RelayResult | { readonly kind: 'not-taken' }> {
+  ): Promise<PeerResult> {
     const controller = this.controllers.get(peer.name) ?? new AbortController();
     this.controllers.set(peer.name, controller);
     const result = await this.parts.connections.send(
@@ -116,7 +122,7 @@
     return interpret(result);
   }
 
-  private record(peer: Peer, { exchange }: RelayedRequest, { kind }: { kind: string }): void {
+  private record(peer: Peer, { exchange }: RelayedRequest, { kind }: PeerResult): void {
     this.parts.counters.add('relayed_requests', kind);
     if (kind === 'answered') return;
     this.parts.logger.info('relay-failed', {
@@ -136,7 +142,7 @@
 }
 
 /** What an exchange with a peer means for the request. */
-function interpret(result: AttemptResult): RelayResult | { readonly kind: 'not-taken' } {
+function interpret(result: AttemptResult): PeerResult {
   if (result.kind === 'not-sent' || result.kind === 'not-run') return { kind: 'not-taken' };
   if (result.kind === 'dropped') return { kind: 'broken', detail: result.detail };
   if (result.kind !== 'answered') return result;
