--- a/packages/command-line/src/explain/explainRequest.ts
+++ b/packages/command-line/src/explain/explainRequest.ts
@@ -100,8 +100,8 @@
   overloaded: explainOverload,
   'rate-limited': ({ end }) =>
     `The rate limits that the targets of ${String(end.fields.service)} state left no room. It has not run.`,
-  'targets-resting': ({ end }) =>
-    `All targets of ${String(end.fields.service)} had asked this daemon for a rest. It has not run.`,
+  'backing-off': ({ end }) =>
+    `All targets of ${String(end.fields.service)} had asked daemon ${end.host} to back off. It has not run.`,
   'no-target': explainWithoutTarget,
   unreachable: explainWithoutTarget,
   'refused-by-targets': ({ retry }) =>
--- a/packages/gateway/src/__tests__/unit/AttemptTracker.test.ts
+++ b/packages/gateway/src/__tests__/unit/AttemptTracker.test.ts
@@ -24,12 +24,12 @@
   let tracker: AttemptTracker;
   let notices: TargetNotices;
   let sent: Extract<PeerMessage, { kind: 'calls' }>[];
-  let departuresTold: Extract<PeerMessage, { kind: 'departures' }>[];
+  let leavingTold: Extract<PeerMessage, { kind: 'leaving-targets' }>[];
 
   beforeEach(() => {
     clock = new ManualClock();
     sent = [];
-    departuresTold = [];
+    leavingTold = [];
     notices = createTargetNotices(clock);
     targets = new TargetTable(clock, DEFAULT_HEALTH_MODEL_PARAMETERS);
     targets.apply([{ kind: 'present', entry: createTargetEntry('t') }]);
@@ -52,7 +52,7 @@
       link: {
         send: (_addresses, message) => {
           if (message.kind === 'calls') sent.push(message);
-          if (message.kind === 'departures') departuresTold.push(message);
+          if (message.kind === 'leaving-targets') leavingTold.push(message);
           return true;
         },
       },
@@ -95,15 +95,15 @@
     it('that it is leaving is told to peers once, with the start of its process', () => {
       tracker.recordNotice(ENTRY, { ...NOTHING_STATED, isLeaving: true });
       tracker.recordNotice(ENTRY, { ...NOTHING_STATED, isLeaving: true });
-      expect(departuresTold).toMatchObject([{ departures: [{ target: 't', bornAt: 5 }] }]);
+      expect(leavingTold).toMatchObject([{ leavingTargets: [{ target: 't', bornAt: 5 }] }]);
       expect(notices.admission.denialOf(ENTRY)).toEqual({ kind: 'leaving' });
     });
 
-    it('that it wants a rest is not told: it concerns this daemon', async () => {
-      tracker.recordNotice(ENTRY, { ...NOTHING_STATED, restMilliseconds: 2_000 });
-      expect(notices.admission.denialOf(ENTRY)).toEqual({ kind: 'resting', until: 2_000 });
+    it('that it asks for a backoff is not told: it concerns this daemon', async () => {
+      tracker.recordNotice(ENTRY, { ...NOTHING_STATED, backoffMilliseconds: 2_000 });
+      expect(notices.admission.denialOf(ENTRY)).toEqual({ kind: 'backing-off', until: 2_000 });
       await clock.advance(50);
-      expect([sent, departuresTold]).toEqual([[], []]);
+      expect([sent, leavingTold]).toEqual([[], []]);
     });
   });
 });
--- a/packages/gateway/src/__tests__/unit/Heartbeat.test.ts
+++ b/packages/gateway/src/__tests__/unit/Heartbeat.test.ts
@@ -54,7 +54,7 @@
         outstanding: {},
         unhealthy: [{ target: 't', ageMilliseconds: 1 }],
         rateLimits: [{ target: 't', rate: 2, ageMilliseconds: 1 }],
-        departures: [],
+        leavingTargets: [],
       }),
       createHello: (wantsReply) => ({
         kind: 'hello',
--- a/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
@@ -34,7 +34,7 @@
       { target: 't', rate: 2.5, ageMilliseconds: 30 },
       { target: 'u', rate: 'unlimited', ageMilliseconds: 20 },
     ],
-    departures: [{ target: 'v', bornAt: 1_700_000_000_000 }],
+    leavingTargets: [{ target: 'v', bornAt: 1_700_000_000_000 }],
   },
   { kind: 'peers', sender: 'host-1', peers: [{ address: '127.0.0.1:1', region: 'r' }] },
   {
@@ -57,7 +57,7 @@
     ],
   },
   { kind: 'news', sender: 'host-1', versions: VERSIONS, after: 39, changes: [] },
-  { kind: 'departures', sender: 'host-1', departures: [{ target: 'v', bornAt: 3 }] },
+  { kind: 'leaving-targets', sender: 'host-1', leavingTargets: [{ target: 'v', bornAt: 3 }] },
   { kind: 'crash', sender: 'host-1', fingerprint: 'f', crashes: 2 },
 ];
 
--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -136,23 +136,23 @@
     });
   });
 
-  describe('the rest that a target asks for', () => {
+  describe('the backoff that a target asks for', () => {
     it.each([
       ['503 Full', 'Retry-After: 2\r\n', 2_000],
       ['503 Full', 'Retry-After: 0.5\r\n', 500],
       ['503 Full', '', undefined],
       ['503 Full', 'Retry-After: soon\r\n', undefined],
       ['429 Many', 'Retry-After: 2\r\n', undefined],
-    ])('is read from %s with %j', async (status, field, restMilliseconds) => {
+    ])('is read from %s with %j', async (status, field, backoffMilliseconds) => {
       script = (socket, attempt) =>
         socket.write(head(attempt, 0, status, `X-Not-Run: 1\r\n${field}`));
-      expect(await send()).toMatchObject({ kind: 'not-run', stated: { restMilliseconds } });
+      expect(await send()).toMatchObject({ kind: 'not-run', stated: { backoffMilliseconds } });
     });
 
     it('is not read from the refusal of another target', async () => {
       script = (socket, attempt) =>
         socket.write(head(attempt, 0, '421 Misdirected', 'Retry-After: 2\r\nX-Leaving: 1\r\n'));
-      const stated = { isLeaving: false, restMilliseconds: undefined };
+      const stated = { isLeaving: false, backoffMilliseconds: undefined };
       expect(await send()).toMatchObject({ kind: 'not-run', reason: 'other-target', stated });
     });
   });
--- a/packages/gateway/src/__tests__/unit/TargetNotices.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetNotices.test.ts
@@ -18,7 +18,7 @@
 
   describe('of a target that is leaving', () => {
     beforeEach(() => {
-      notices.departures.record({ target: 't', bornAt: 1 }, 'own');
+      notices.leavingTargets.record({ target: 't', bornAt: 1 }, 'own');
     });
 
     it('is denied as long as its process is known, also when its entry returns', async () => {
@@ -29,45 +29,45 @@
 
     it('is given again to its next process, and not taken back by an old report', () => {
       expect(notices.admission.denialOf(next)).toBeUndefined();
-      notices.departures.record({ target: 't', bornAt: 0 }, 'a');
+      notices.leavingTargets.record({ target: 't', bornAt: 0 }, 'a');
       expect(notices.admission.denialOf(next)).toBeUndefined();
     });
 
     it('is told to peers for a while, and is news once', async () => {
-      expect(notices.departures.record({ target: 't', bornAt: 1 }, 'a')).toBe(false);
-      expect(notices.departures.reports()).toEqual([{ target: 't', bornAt: 1 }]);
+      expect(notices.leavingTargets.record({ target: 't', bornAt: 1 }, 'a')).toBe(false);
+      expect(notices.leavingTargets.reports()).toEqual([{ target: 't', bornAt: 1 }]);
       await clock.advance(31_000);
-      expect(notices.departures.reports()).toEqual([]);
+      expect(notices.leavingTargets.reports()).toEqual([]);
     });
   });
 
-  describe('of a target that rests', () => {
-    beforeEach(() => notices.rests.record('t', 1, 2_000));
+  describe('of a target that asked for a backoff', () => {
+    beforeEach(() => notices.backoffs.record('t', 1, 2_000));
 
-    it('is denied until the end of the rest', async () => {
+    it('is denied until its end', async () => {
       await clock.advance(1_990);
-      expect(notices.admission.denialOf(first)).toEqual({ kind: 'resting', until: 2_000 });
+      expect(notices.admission.denialOf(first)).toEqual({ kind: 'backing-off', until: 2_000 });
       await clock.advance(10);
       expect(notices.admission.denialOf(first)).toBeUndefined();
     });
 
-    it('is not given earlier by a shorter rest, nor by an answer to an earlier request', async () => {
-      notices.rests.record('t', 1, 100);
-      notices.rests.recordTaken('t', 1);
+    it('is not given earlier by a shorter one, nor by an answer to an earlier request', async () => {
+      notices.backoffs.record('t', 1, 100);
+      notices.backoffs.recordTaken('t', 1);
       await clock.advance(1_000);
-      expect(notices.admission.denialOf(first)).toMatchObject({ kind: 'resting' });
+      expect(notices.admission.denialOf(first)).toMatchObject({ kind: 'backing-off' });
     });
 
     it('outlives the entry of the target, but not its process', () => {
-      notices.rests.forget('t');
-      expect(notices.admission.denialOf(first)).toMatchObject({ kind: 'resting' });
+      notices.backoffs.forget('t');
+      expect(notices.admission.denialOf(first)).toMatchObject({ kind: 'backing-off' });
       expect(notices.admission.denialOf(next)).toBeUndefined();
     });
 
     it('leaves the target unproven until it takes a request', async () => {
       await clock.advance(2_000);
       expect(notices.admission.isUnproven(first)).toBe(true);
-      notices.rests.recordTaken('t', 1);
+      notices.backoffs.recordTaken('t', 1);
       expect(notices.admission.isUnproven(first)).toBe(false);
     });
   });
--- a/packages/gateway/src/__tests__/unit/requestNotices.test.ts
+++ b/packages/gateway/src/__tests__/unit/requestNotices.test.ts
@@ -3,17 +3,17 @@
 import { NOTHING_STATED } from '../../state/TargetStatement.js';
 import ProxyFixture, { answer, describeOutcome, RESULTS } from './ProxyFixture.js';
 
-const REST_MILLISECONDS = 3_000;
+const BACKOFF_MILLISECONDS = 3_000;
 const LEAVING = answer(200, true, true, { isLeaving: true });
-const RESTING: AttemptResult = {
+const BACKING_OFF: AttemptResult = {
   kind: 'not-run',
   reason: 'full',
-  stated: { ...NOTHING_STATED, restMilliseconds: REST_MILLISECONDS },
+  stated: { ...NOTHING_STATED, backoffMilliseconds: BACKOFF_MILLISECONDS },
 };
 
 describe.each([
   ['is leaving', LEAVING, 'no-target'],
-  ['wants a rest', RESTING, 'targets-resting'],
+  ['is to be left alone for a time', BACKING_OFF, 'backing-off'],
 ] as const)('RequestProxy, once a target has stated that it %s', (_name, notice, refusal) => {
   let fixture: ProxyFixture;
   /** Targets that received requests after all had had the occasion to state it, in order. */
@@ -82,30 +82,30 @@
   });
 });
 
-describe('RequestProxy, when all targets rest', () => {
+describe('RequestProxy, when all targets asked it to back off', () => {
   it('says when the first of them is free again, and uses it then', async () => {
     const fixture = new ProxyFixture();
-    fixture.script = async () => RESTING;
+    fixture.script = async () => BACKING_OFF;
     await Promise.all(
       Array.from({ length: 60 }, () => fixture.handle(fixture.createExchange('non-idempotent'))),
     );
     await fixture.clock.advance(1_000);
     const outcome = await fixture.handle(fixture.createExchange('non-idempotent'));
-    expect(outcome).toMatchObject({ freeInMilliseconds: REST_MILLISECONDS - 1_000 });
-    await fixture.clock.advance(REST_MILLISECONDS - 1_000);
+    expect(outcome).toMatchObject({ freeInMilliseconds: BACKOFF_MILLISECONDS - 1_000 });
+    await fixture.clock.advance(BACKOFF_MILLISECONDS - 1_000);
     fixture.script = async () => RESULTS.good;
     const later = await fixture.handle(fixture.createExchange('non-idempotent'));
     expect(describeOutcome(later)).toBe('200');
   });
 
-  it('retries a request that was turned away where no target has just rested', async () => {
+  it('retries a request that was turned away where no target asked for a backoff lately', async () => {
     const fixture = new ProxyFixture();
     const isWell = (target: string) => target === 't3';
-    fixture.script = async (target) => (isWell(target) ? RESULTS.good : RESTING);
+    fixture.script = async (target) => (isWell(target) ? RESULTS.good : BACKING_OFF);
     await Promise.all(
       Array.from({ length: 24 }, () => fixture.handle(fixture.createExchange('non-idempotent'))),
     );
-    await fixture.clock.advance(REST_MILLISECONDS + 100);
+    await fixture.clock.advance(BACKOFF_MILLISECONDS + 100);
     const outcomes = [await fixture.handle(fixture.createExchange('non-idempotent'))];
     outcomes.push(await fixture.handle(fixture.createExchange('non-idempotent')));
     expect(outcomes.map(describeOutcome)).toEqual(['200', '200']);
--- a/packages/gateway/src/callers/Refusal.ts
+++ b/packages/gateway/src/callers/Refusal.ts
@@ -6,7 +6,7 @@
   | 'no-target'
   | 'overloaded'
   | 'rate-limited'
-  | 'targets-resting'
+  | 'backing-off'
   | 'unreachable'
   | 'refused-by-targets'
   | 'held-back'
@@ -58,11 +58,11 @@
     retryAfterMilliseconds: 500,
     meaning: 'the rate limits of the targets leave no room',
   },
-  'targets-resting': {
+  'backing-off': {
     status: 503,
     isNotRun: true,
     retryAfterMilliseconds: 1_000,
-    meaning: 'all targets have asked this daemon for a rest',
+    meaning: 'all targets asked this daemon to back off',
   },
   unreachable: {
     status: 503,
--- a/packages/gateway/src/connections/readTargetAnswer.ts
+++ b/packages/gateway/src/connections/readTargetAnswer.ts
@@ -89,12 +89,12 @@
     requests: readLoad(fieldOf(response, names.load)),
     rateLimit: readRateLimit(fieldOf(response, names.rateLimit)),
     isLeaving: fieldOf(response, names.leaving) === LEAVING_VALUE,
-    restMilliseconds: isRefusal ? readRest(response.headers['retry-after']) : undefined,
+    backoffMilliseconds: isRefusal ? readBackoff(response.headers['retry-after']) : undefined,
   };
 }
 
 /** Milliseconds from a number of seconds; a date, which targets do not send, counts as none. */
-function readRest(text: string | undefined): number | undefined {
+function readBackoff(text: string | undefined): number | undefined {
   const isDecimal = text !== undefined && DECIMAL_NUMBER.test(text.trim());
   return isDecimal ? Number(text) * MILLISECONDS_PER_SECOND : undefined;
 }
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -51,7 +51,7 @@
 > = {
   full: 'overloaded',
   'rate-limited': 'rate-limited',
-  resting: 'targets-resting',
+  'backing-off': 'backing-off',
   'no-target': undefined,
 };
 
@@ -168,7 +168,7 @@
     const picked = this.pick();
     if (picked.kind !== 'picked') {
       this.log.recordUnplaced(picked, remaining, this.excluded.size);
-      const freeIn = picked.kind === 'resting' ? picked.freeInMilliseconds : undefined;
+      const freeIn = picked.kind === 'backing-off' ? picked.freeInMilliseconds : undefined;
       return this.conclude(UNPLACED_REASONS[picked.kind] ?? this.lastReason, freeIn);
     }
     if (this.failedAttempts > 0 && !this.withdrawRetry()) return this.conclude(this.lastReason);
--- a/packages/gateway/src/fleet/Heartbeat.ts
+++ b/packages/gateway/src/fleet/Heartbeat.ts
@@ -105,7 +105,7 @@
       .forEach(({ addresses, pauseMilliseconds, isFull }) => {
         const heartbeat = isFull
           ? full
-          : { ...full, unhealthy: [], rateLimits: [], departures: [] };
+          : { ...full, unhealthy: [], rateLimits: [], leavingTargets: [] };
         link.send(addresses, { ...heartbeat, pauseMilliseconds });
       });
   }
--- a/packages/gateway/src/fleet/LocalDaemon.ts
+++ b/packages/gateway/src/fleet/LocalDaemon.ts
@@ -54,7 +54,7 @@
       outstanding: sharedState.outstanding.listOwn(),
       unhealthy: isEntry ? sharedState.targets.unhealthyTargets() : [],
       rateLimits: isEntry ? sharedState.rateLimits.reports() : [],
-      departures: isEntry ? sharedState.departures.reports() : [],
+      leavingTargets: isEntry ? sharedState.leavingTargets.reports() : [],
     };
   }
 
--- a/packages/gateway/src/fleet/PeerCodec.ts
+++ b/packages/gateway/src/fleet/PeerCodec.ts
@@ -20,7 +20,7 @@
 type UnhealthyRow = [string, number];
 type RateLimitRow = [string, number, number];
 /** Target and the start of its process. */
-type DepartureRow = [string, number];
+type LeavingRow = [string, number];
 type HeartbeatFields = [
   'beat',
   string,
@@ -34,7 +34,7 @@
   UnhealthyRow[],
   RateLimitRow[]?,
   number?,
-  DepartureRow[]?,
+  LeavingRow[]?,
 ];
 
 const KINDS: readonly string[] = [
@@ -43,7 +43,7 @@
   'peers',
   'calls',
   'news',
-  'departures',
+  'leaving-targets',
   'crash',
 ] satisfies readonly PeerMessageKind[];
 
@@ -153,7 +153,7 @@
       age,
     ]),
     heartbeat.isCutOff ? 1 : 0,
-    heartbeat.departures.map(({ target, bornAt }): DepartureRow => [target, bornAt]),
+    heartbeat.leavingTargets.map(({ target, bornAt }): LeavingRow => [target, bornAt]),
   ];
 }
 
@@ -173,7 +173,7 @@
 function unpackHeartbeat(fields: HeartbeatFields): HeartbeatMessage | undefined {
   const [, sender, incarnation, stateNumber, pauseMilliseconds, ...rest] = fields;
   const [configuration, targets, ageMilliseconds, outstanding, rows, ...later] = rest;
-  const [limitRows = [], cutOff = 0, departureRows = []] = later;
+  const [limitRows = [], cutOff = 0, leavingRows = []] = later;
   const state = STATES[stateNumber];
   if (state === undefined) return undefined;
   return {
@@ -191,6 +191,6 @@
       rate: decodeRate(rate),
       ageMilliseconds: age,
     })),
-    departures: departureRows.map(([target, bornAt]) => ({ target, bornAt })),
+    leavingTargets: leavingRows.map(([target, bornAt]) => ({ target, bornAt })),
   };
 }
--- a/packages/gateway/src/fleet/PeerMessage.ts
+++ b/packages/gateway/src/fleet/PeerMessage.ts
@@ -49,7 +49,7 @@
 }
 
 /** A process of a target that is leaving. */
-export interface Departure {
+export interface LeavingTarget {
   readonly target: string;
   /** Milliseconds since the epoch at which the process started. */
   readonly bornAt: number;
@@ -112,7 +112,7 @@
       /** Rate limits of targets; filled like `unhealthy`. */
       readonly rateLimits: readonly RateLimitReport[];
       /** Targets that stated that they are leaving; filled like `unhealthy`. */
-      readonly departures: readonly Departure[];
+      readonly leavingTargets: readonly LeavingTarget[];
     }
   /** Daemons that the sender knows, so that all daemons discover one another. */
   | { readonly kind: 'peers'; readonly sender: string; readonly peers: readonly PeerAddress[] }
@@ -132,9 +132,9 @@
     }
   /** Targets that stated that they are leaving. */
   | {
-      readonly kind: 'departures';
+      readonly kind: 'leaving-targets';
       readonly sender: string;
-      readonly departures: readonly Departure[];
+      readonly leavingTargets: readonly LeavingTarget[];
     }
   /** A request broke the connections to this many targets. */
   | {
--- a/packages/gateway/src/fleet/peerHandlers.ts
+++ b/packages/gateway/src/fleet/peerHandlers.ts
@@ -7,7 +7,7 @@
 import type FleetMembers from './FleetMembers.js';
 import type LocalDaemon from './LocalDaemon.js';
 import type { PeerSender } from './PeerLink.js';
-import type { Departure, PeerMessage, PeerMessageKind } from './PeerMessage.js';
+import type { LeavingTarget, PeerMessage, PeerMessageKind } from './PeerMessage.js';
 import type StateFollower from '../state/StateFollower.js';
 
 /** Members to which a new one is announced at once. */
@@ -36,9 +36,9 @@
 
 export function createPeerHandlers(parts: PeerHandlerParts): PeerHandlers {
   const { name, daemon, sharedState, link, attemptTracker, crashes, follower, random } = parts;
-  const { members, outstanding, targets, rateLimits, departures } = sharedState;
-  const recordDepartures = (told: readonly Departure[], peer: string) =>
-    told.forEach((departure) => departures.record(departure, peer));
+  const { members, outstanding, targets, rateLimits, leavingTargets } = sharedState;
+  const recordLeaving = (told: readonly LeavingTarget[], peer: string) =>
+    told.forEach((leavingTarget) => leavingTargets.record(leavingTarget, peer));
   return {
     hello: (message, from) => {
       const isNew = members.applyDescription(message.sender);
@@ -60,7 +60,7 @@
       outstanding.replacePeerCounts(message.sender, message.outstanding);
       targets.applyUnhealthyReports(message.unhealthy);
       rateLimits.applyReports(message.rateLimits, message.sender);
-      recordDepartures(message.departures, message.sender);
+      recordLeaving(message.leavingTargets, message.sender);
       follower.compareVersions(message.versions, message.sender);
     },
     peers: (message) => link.send(members.addAddresses(message.peers), daemon.createHello(true)),
@@ -69,7 +69,7 @@
       attemptTracker.applyReports(message.sender, message.reports);
     },
     news: (message) => follower.applyUpdate(message),
-    departures: (message) => recordDepartures(message.departures, message.sender),
+    'leaving-targets': (message) => recordLeaving(message.leavingTargets, message.sender),
     crash: (message) => crashes.applyReport(message.fingerprint, message.crashes),
   };
 }
--- a/packages/gateway/src/health/AttemptTracker.ts
+++ b/packages/gateway/src/health/AttemptTracker.ts
@@ -6,8 +6,8 @@
 import type EntryDirectory from '../fleet/EntryDirectory.js';
 import type FailureRates from './FailureRates.js';
 import type IdleReuse from '../connections/IdleReuse.js';
-import type DepartingTargets from '../limits/DepartingTargets.js';
-import type TargetRests from '../limits/TargetRests.js';
+import type LeavingTargets from '../limits/LeavingTargets.js';
+import type TargetBackoffs from '../limits/TargetBackoffs.js';
 import type TargetRateLimits from '../limits/TargetRateLimits.js';
 import type OutstandingRequests from '../placement/OutstandingRequests.js';
 import type { PeerSender } from '../fleet/PeerLink.js';
@@ -53,8 +53,8 @@
   readonly idleReuse: IdleReuse;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly rateLimits: TargetRateLimits;
-  readonly departures: DepartingTargets;
-  readonly rests: TargetRests;
+  readonly leavingTargets: LeavingTargets;
+  readonly backoffs: TargetBackoffs;
   readonly directory: EntryDirectory;
   readonly link: PeerSender;
   readonly clock: Clock;
@@ -116,17 +116,21 @@
     });
   }
 
-  /** Records that the target wants no requests, from anyone or from this daemon for a time. */
+  /** Records that the target is leaving, or asked this daemon to back off. */
   public recordNotice(
     { id: target, bornAt }: TargetEntry,
-    { isLeaving, restMilliseconds }: TargetStatement,
+    { isLeaving, backoffMilliseconds }: TargetStatement,
   ): void {
-    const { departures, rests, link, directory, selfName: sender } = this.parts;
-    if (restMilliseconds === undefined) rests.recordTaken(target, bornAt);
-    else rests.record(target, bornAt, restMilliseconds);
-    if (!isLeaving || !departures.record({ target, bornAt }, 'own')) return;
-    const told = [{ target, bornAt }];
-    link.send(directory.entryAddresses(), { kind: 'departures', sender, departures: told });
+    const { leavingTargets, backoffs, link, directory, selfName: sender } = this.parts;
+    if (backoffMilliseconds === undefined) backoffs.recordTaken(target, bornAt);
+    else backoffs.record(target, bornAt, backoffMilliseconds);
+    if (!isLeaving || !leavingTargets.record({ target, bornAt }, 'own')) return;
+    const message = {
+      kind: 'leaving-targets',
+      sender,
+      leavingTargets: [{ target, bornAt }],
+    } as const;
+    link.send(directory.entryAddresses(), message);
   }
 
   /** Records that an attempt of this daemon takes unusually long. */
--- a/packages/gateway/src/limits/TargetAdmission.ts
+++ b/packages/gateway/src/limits/TargetAdmission.ts
@@ -4,20 +4,20 @@
  * and the last resort get their target, asks it for each.
  */
 import type { TargetEntry } from '../state/TargetEntry.js';
-import type DepartingTargets from './DepartingTargets.js';
+import type LeavingTargets from './LeavingTargets.js';
 import type TargetRateLimits from './TargetRateLimits.js';
-import type TargetRests from './TargetRests.js';
+import type TargetBackoffs from './TargetBackoffs.js';
 
 /** Why a target may not be sent to. */
 export type Denial =
   | { readonly kind: 'leaving' }
-  /** Until the monotonic time it wants nothing from this daemon. */
-  | { readonly kind: 'resting'; readonly until: number }
+  /** It asked this daemon to send nothing until the monotonic time. */
+  | { readonly kind: 'backing-off'; readonly until: number }
   | { readonly kind: 'rate-limited' };
 
 export interface TargetAdmissionParts {
-  readonly departures: Pick<DepartingTargets, 'includes'>;
-  readonly rests: Pick<TargetRests, 'untilOf' | 'isUnproven'>;
+  readonly leavingTargets: Pick<LeavingTargets, 'includes'>;
+  readonly backoffs: Pick<TargetBackoffs, 'untilOf' | 'isUnproven'>;
   readonly rateLimits: Pick<TargetRateLimits, 'hasRoom'>;
 }
 
@@ -26,15 +26,15 @@
 
   /** Returns undefined when the target may be sent to. */
   public denialOf(entry: TargetEntry): Denial | undefined {
-    const { departures, rests, rateLimits } = this.parts;
-    if (departures.includes(entry.id, entry.bornAt)) return { kind: 'leaving' };
-    const until = rests.untilOf(entry.id, entry.bornAt);
-    if (until !== undefined) return { kind: 'resting', until };
+    const { leavingTargets, backoffs, rateLimits } = this.parts;
+    if (leavingTargets.includes(entry.id, entry.bornAt)) return { kind: 'leaving' };
+    const until = backoffs.untilOf(entry.id, entry.bornAt);
+    if (until !== undefined) return { kind: 'backing-off', until };
     return rateLimits.hasRoom(entry) ? undefined : { kind: 'rate-limited' };
   }
 
-  /** Whether the target may turn the next request away too, since it has just rested. */
+  /** Whether the target may refuse the next request too: it asked for a backoff lately. */
   public isUnproven({ id, bornAt }: TargetEntry): boolean {
-    return this.parts.rests.isUnproven(id, bornAt);
+    return this.parts.backoffs.isUnproven(id, bornAt);
   }
 }
--- a/packages/gateway/src/placement/TargetPicker.ts
+++ b/packages/gateway/src/placement/TargetPicker.ts
@@ -78,8 +78,8 @@
   | { readonly kind: 'no-target' }
   /** The rate limits of all targets are used up. */
   | { readonly kind: 'rate-limited' }
-  /** All targets have asked this daemon for a rest; the first one ends after this time. */
-  | { readonly kind: 'resting'; readonly freeInMilliseconds: number }
+  /** All targets asked this daemon to back off; the first one may be used after this time. */
+  | { readonly kind: 'backing-off'; readonly freeInMilliseconds: number }
   /** No target is expected to answer in time. */
   | { readonly kind: 'full'; readonly expectedMilliseconds: number };
 
@@ -117,7 +117,7 @@
     const admitted = usable.filter(({ entry }) => !this.parts.admission.denialOf(entry));
     if (admitted.length === 0) return this.explainDenials(query.service, usable, now);
     const reachable = preferring(admitted, ({ blockedUntil }) => blockedUntil <= now);
-    // A retry is one of few attempts: it does not go where the next request may be turned away.
+    // A retry is one of few attempts: it does not go where it may well be refused again.
     const isRetry = query.excluded.size > 0;
     const candidates = preferring(
       reachable,
@@ -146,12 +146,12 @@
     if (denialsOf(usable).some(({ kind }) => kind === 'rate-limited')) {
       return { kind: 'rate-limited' };
     }
-    const restEnds = denialsOf(this.parts.targets.usable(service)).flatMap((denial) =>
-      denial.kind === 'resting' ? [denial.until] : [],
+    const backoffEnds = denialsOf(this.parts.targets.usable(service)).flatMap((denial) =>
+      denial.kind === 'backing-off' ? [denial.until] : [],
     );
-    return restEnds.length === 0
+    return backoffEnds.length === 0
       ? { kind: 'no-target' }
-      : { kind: 'resting', freeInMilliseconds: Math.min(...restEnds) - now };
+      : { kind: 'backing-off', freeInMilliseconds: Math.min(...backoffEnds) - now };
   }
 
   private cheapest(picks: readonly Pick[], query: PickQuery): Pick | undefined {
--- a/packages/gateway/src/state/TargetStatement.ts
+++ b/packages/gateway/src/state/TargetStatement.ts
@@ -10,8 +10,8 @@
   readonly rateLimit: RequestRate | undefined;
   /** Whether the target is about to shut down. */
   readonly isLeaving: boolean;
-  /** Time for which it wants no request from this daemon, if it asks for that. */
-  readonly restMilliseconds: number | undefined;
+  /** Time for which this daemon is to send it no request, if it asks for that. */
+  readonly backoffMilliseconds: number | undefined;
 }
 
 /** The statement of an answer that never came. */
@@ -19,5 +19,5 @@
   requests: undefined,
   rateLimit: undefined,
   isLeaving: false,
-  restMilliseconds: undefined,
+  backoffMilliseconds: undefined,
 };
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -21,9 +21,9 @@
 import ServiceTimes from '../placement/ServiceTimes.js';
 import TargetConnections from '../connections/TargetConnections.js';
 import TargetCoverage from '../placement/TargetCoverage.js';
-import DepartingTargets from '../limits/DepartingTargets.js';
+import LeavingTargets from '../limits/LeavingTargets.js';
 import TargetAdmission from '../limits/TargetAdmission.js';
-import TargetRests from '../limits/TargetRests.js';
+import TargetBackoffs from '../limits/TargetBackoffs.js';
 import TargetRateLimits from '../limits/TargetRateLimits.js';
 import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../health/TargetHealthEstimate.js';
 import TargetPicker from '../placement/TargetPicker.js';
@@ -43,8 +43,8 @@
   readonly idleReuse: IdleReuse;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly rateLimits: TargetRateLimits;
-  readonly departures: DepartingTargets;
-  readonly rests: TargetRests;
+  readonly leavingTargets: LeavingTargets;
+  readonly backoffs: TargetBackoffs;
   readonly admission: TargetAdmission;
   readonly members: FleetMembers;
   readonly directory: EntryDirectory;
@@ -92,9 +92,9 @@
   const { region, regions } = options;
   const share = new RateLimitShare({ region, regions, members, directory });
   const rateLimits = new TargetRateLimits({ share, clock, random, counters, logger });
-  const departures = new DepartingTargets({ clock, counters, logger });
-  const rests = new TargetRests({ clock, counters, logger });
-  const admission = new TargetAdmission({ departures, rests, rateLimits });
+  const leavingTargets = new LeavingTargets({ clock, counters, logger });
+  const backoffs = new TargetBackoffs({ clock, counters, logger });
+  const admission = new TargetAdmission({ leavingTargets, backoffs, rateLimits });
   const countMembers = () => members.countFleet();
   const retryBudgetShares = new RetryBudgetShares(options.retryBudget, countMembers, clock);
   const state = new GatewayState(options.decode, targets, clock, logger, (changes) => {
@@ -103,7 +103,7 @@
       connections.forget(change.id);
       outstanding.forgetTarget(change.id);
       serviceTimes.forget(change.id);
-      rests.forget(change.id);
+      backoffs.forget(change.id);
     });
   });
   return {
@@ -118,8 +118,8 @@
     idleReuse,
     retryBudgetShares,
     rateLimits,
-    departures,
-    rests,
+    leavingTargets,
+    backoffs,
     admission,
     members,
     directory,
