Decode workspaces, their keys and large downloads; authorize callers by key

Callers' keys went to targets, and no workspace was named. A relayed request carries its key, and the peer authorizes it again.

--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -75,6 +75,7 @@
     priority: 0,
     timeoutMilliseconds: 2_000,
     maximumAttempts: 2,
+    isPublic: false,
     destinations: [{ service: 's', weight: 1 }],
   };
 }
@@ -173,6 +174,7 @@
       version: 1,
       limits: LIMITS,
       routes: new Map([['h', KINDS.map(createRoute)]]),
+      workspaces: undefined,
     };
     return new GatewayState(
       () => configuration,
@@ -228,6 +230,7 @@
       relay: this.scriptedRelay() as unknown as PeerRelay,
       crashes: new CrashTracker(clock, counters, () => {}),
       retryBudgetShares,
+      workspaceField: 'X-Workspace',
       clock,
       random,
       counters,
--- a/packages/gateway/src/__tests__/unit/targetFieldNames.ts
+++ b/packages/gateway/src/__tests__/unit/targetFieldNames.ts
@@ -10,6 +10,7 @@
   rateLimit: 'X-Rate-Limit',
   leaving: 'X-Leaving',
   signature: 'X-Signature',
+  workspace: 'X-Workspace',
 };
 
 export default TARGET_FIELD_NAMES;
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -8,6 +8,7 @@
   readonly host: string;
   readonly method: string;
   readonly path: string;
+  /** End-to-end fields as the caller sent them, its key included. */
   readonly fields: HeaderFields;
   readonly body: Buffer;
   /** Time that the caller waits, counted from `receivedAt`. */
--- a/packages/gateway/src/callers/Refusal.ts
+++ b/packages/gateway/src/callers/Refusal.ts
@@ -3,6 +3,8 @@
 export type RefusalReason =
   | 'no-configuration'
   | 'no-route'
+  | 'unknown-key'
+  | 'over-quota'
   | 'no-target'
   | 'overloaded'
   | 'rate-limited'
@@ -40,6 +42,18 @@
     retryAfterMilliseconds: 0,
     meaning: 'no route in force matches the request',
   },
+  'unknown-key': {
+    status: 401,
+    isNotRun: true,
+    retryAfterMilliseconds: 0,
+    meaning: 'no workspace in force holds the key of the request',
+  },
+  'over-quota': {
+    status: 429,
+    isNotRun: true,
+    retryAfterMilliseconds: 1_000,
+    meaning: 'the workspace has used up its quota',
+  },
   'no-target': {
     status: 503,
     isNotRun: true,
--- a/packages/gateway/src/connections/TargetAttempt.ts
+++ b/packages/gateway/src/connections/TargetAttempt.ts
@@ -65,4 +65,6 @@
   /** Set in the answers of a target that is about to shut down. */
   readonly leaving: string;
   readonly signature: string;
+  /** Tells targets the workspace of the caller. */
+  readonly workspace: string;
 }
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -11,13 +11,20 @@
 import type { CallerExchange, CallerOutcome } from '../callers/CallerExchange.js';
 import { refuse } from '../callers/CallerExchange.js';
 import type { GatewayRoute } from '../state/GatewayConfiguration.js';
+import { isRepeatable } from '../state/GatewayConfiguration.js';
 import type { RefusalReason } from '../callers/Refusal.js';
 import type PeerRelay from '../relay/PeerRelay.js';
 import type { RelayResult } from '../relay/PeerRelay.js';
 import type RetryBudgetShares from './RetryBudgetShares.js';
 import type { AttemptParts, RunningAttempt } from './RunningAttempt.js';
 import { isSuccessful, startAttempt } from './RunningAttempt.js';
-import type { AttemptResult, OutgoingRequest, TargetAnswer } from '../connections/TargetAttempt.js';
+import type {
+  AttemptResult,
+  HeaderFields,
+  OutgoingRequest,
+  TargetAnswer,
+} from '../connections/TargetAttempt.js';
+import type { Workspace } from '../workspaces/Workspace.js';
 import type TargetPicker from '../placement/TargetPicker.js';
 import type { Pick, PickResult } from '../placement/TargetPicker.js';
 
@@ -37,6 +44,12 @@
   readonly exchange: CallerExchange;
   readonly route: GatewayRoute;
   readonly service: string;
+  /** Fields of the request for targets. */
+  readonly fields: HeaderFields;
+  /** Urgency of the request; 0 is the most urgent. */
+  readonly priority: number;
+  /** Workspace of the caller, where callers have one. */
+  readonly workspace: Workspace | undefined;
   /** Identifies the request by what stays the same when its caller retries. */
   readonly fingerprint: string;
   /** Version of the configuration that the route belongs to. */
@@ -240,7 +253,7 @@
   }
 
   private start(pick: Pick): RunningAttempt {
-    const { exchange, route, service, deadline } = this.plan;
+    const { exchange, fields, route, service, deadline } = this.plan;
     this.excluded.add(pick.target.entry.id);
     const isRetry = this.failedAttempts + this.attemptsInProgress > 0;
     this.attemptsInProgress += 1;
@@ -248,7 +261,7 @@
       id: exchange.id,
       method: exchange.method,
       path: exchange.path,
-      fields: exchange.fields,
+      fields,
       body: exchange.body,
       kind: sendKindOf(route),
       deadline,
@@ -259,7 +272,7 @@
   }
 
   private isIdempotent(): boolean {
-    return this.plan.route.kind === 'idempotent';
+    return isRepeatable(this.plan.route.kind);
   }
 
   /** Gives up an attempt at a target that this daemon does not reach any more. */
@@ -331,5 +344,5 @@
 }
 
 function sendKindOf({ kind }: GatewayRoute): OutgoingRequest['kind'] {
-  return kind === 'idempotent' ? 'repeatable' : 'once';
+  return isRepeatable(kind) ? 'repeatable' : 'once';
 }
--- a/packages/gateway/src/execution/RequestProxy.ts
+++ b/packages/gateway/src/execution/RequestProxy.ts
@@ -10,6 +10,7 @@
 import type { RefusalReason } from '../callers/Refusal.js';
 import type { RequestExecutionParts } from './RequestExecution.js';
 import RequestExecution from './RequestExecution.js';
+import authorizeCaller from '../workspaces/authorizeCaller.js';
 import { SERVER_ERROR_STATUS } from './judgeAnswer.js';
 
 /** The caller is answered this long before its deadline. */
@@ -26,6 +27,8 @@
   readonly state: GatewayState;
   readonly random: Random;
   readonly failures: FailureRates;
+  /** Name of the field that tells targets the workspace of the caller. */
+  readonly workspaceField: string;
 }
 
 export default class RequestProxy {
@@ -47,6 +50,14 @@
     if (route === undefined) return this.refuseUnrouted(exchange, 'no-route');
     const service = chooseService(route, random.unit());
     if (service === undefined) return this.refuseUnrouted(exchange, 'no-target');
+    const authorization = authorizeCaller({
+      fields: exchange.fields,
+      isPublic: route.isPublic,
+      workspaces: configuration.workspaces,
+      workspaceField: this.parts.workspaceField,
+    });
+    if (authorization.kind === 'unknown-key') return this.refuseUnrouted(exchange, 'unknown-key');
+    const { workspace, fields } = authorization;
     const fingerprint = fingerprintOf(exchange);
     const deadline = deadlineOf(exchange, route);
     const isFirstAttempt = (exchange.relayed?.attemptsMade ?? 0) === 0;
@@ -57,6 +68,9 @@
           exchange,
           route,
           service,
+          fields,
+          priority: workspace?.priority ?? route.priority,
+          workspace,
           fingerprint,
           version: configuration.version,
           deadline,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,4 @@
-export { chooseService, findRoute } from './state/GatewayConfiguration.js';
+export { chooseService, findRoute, isRepeatable } from './state/GatewayConfiguration.js';
 export { listen } from './state/PeerStateServer.js';
 export { openConnection } from './connections/openConnection.js';
 export { REFUSAL_RULES } from './callers/Refusal.js';
@@ -9,6 +9,7 @@
 export { default as TargetPicker } from './placement/TargetPicker.js';
 export { default as TargetTable } from './state/TargetTable.js';
 export { startGateway } from './wiring/wireGateway.js';
+export { default as WorkspaceKeys } from './workspaces/WorkspaceKeys.js';
 export type { CallerFieldNames } from './callers/CallerServer.js';
 export type {
   CallerLimits,
@@ -29,3 +30,5 @@
 export type { TargetFieldNames } from './connections/TargetAttempt.js';
 export type { TargetChange, TargetEntry } from './state/TargetEntry.js';
 export type { Gateway } from './wiring/wireGateway.js';
+export type { RequestQuota, Workspace } from './workspaces/Workspace.js';
+export type { WorkspaceWithKeys } from './workspaces/WorkspaceKeys.js';
--- a/packages/gateway/src/placement/TargetPicker.ts
+++ b/packages/gateway/src/placement/TargetPicker.ts
@@ -7,6 +7,7 @@
  */
 import type { Clock, Random } from '@cactusrun/core';
 import type { RequestKind } from '../state/GatewayConfiguration.js';
+import { isRepeatable } from '../state/GatewayConfiguration.js';
 import type OutstandingRequests from './OutstandingRequests.js';
 import type ServiceTimes from './ServiceTimes.js';
 import type TargetCoverage from './TargetCoverage.js';
@@ -192,7 +193,7 @@
     const { entry } = pick.target;
     const waitSeconds = pick.waitMilliseconds / MILLISECONDS_PER_SECOND;
     const failure = pick.failureProbability + ONSET_PER_SECOND * waitSeconds;
-    const failureCost = query.kind === 'idempotent' ? IDEMPOTENT_FAILURE_COST : 1;
+    const failureCost = isRepeatable(query.kind) ? IDEMPOTENT_FAILURE_COST : 1;
     const lateness =
       LATENESS_COST * (pick.expectedMilliseconds / query.objectiveMilliseconds) ** LATENESS_POWER;
     const overflow = pick.requestsThere >= entry.slots * (1 + QUEUED_REQUESTS_PER_SLOT) ? 1 : 0;
@@ -227,7 +228,7 @@
   private connectionCost({ target, requestsThere }: Pick, kind: RequestKind): number {
     const { id, slots } = target.entry;
     if (requestsThere >= slots) return NEW_CONNECTION_COST;
-    const sendKind = kind === 'idempotent' ? 'repeatable' : 'once';
+    const sendKind = isRepeatable(kind) ? 'repeatable' : 'once';
     return this.parts.hasConnection(id, sendKind) ? 0 : NEW_CONNECTION_COST;
   }
 
--- a/packages/gateway/src/state/GatewayConfiguration.ts
+++ b/packages/gateway/src/state/GatewayConfiguration.ts
@@ -1,7 +1,11 @@
 /** The configuration of the direct data path: an immutable, versioned document. */
+import type WorkspaceKeys from '../workspaces/WorkspaceKeys.js';
 
-/** Determines whether a request may be retried after a failure. Uploads are never retried. */
-export type RequestKind = 'idempotent' | 'non-idempotent' | 'upload';
+/**
+ * Determines whether a request may be retried after a failure. Uploads, whose bodies are large, are
+ * never retried; downloads, whose answers are large, are until the first byte went to the caller.
+ */
+export type RequestKind = 'idempotent' | 'non-idempotent' | 'upload' | 'download';
 
 /** One of the services among which the requests of a route are split. */
 export interface Destination {
@@ -20,6 +24,8 @@
   readonly objectiveMilliseconds: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Whether requests need no key of a workspace. */
+  readonly isPublic: boolean;
   readonly timeoutMilliseconds: number;
   /** Maximum number of targets that may run one request. */
   readonly maximumAttempts: number;
@@ -39,6 +45,15 @@
   readonly limits: CallerLimits;
   /** Routes by host name, longest path prefix first. */
   readonly routes: ReadonlyMap<string, readonly GatewayRoute[]>;
+  /** The keys of all workspaces; undefined when callers need none. */
+  readonly workspaces: WorkspaceKeys | undefined;
+}
+
+const REPEATABLE_KINDS: ReadonlySet<RequestKind> = new Set(['idempotent', 'download']);
+
+/** Whether requests of the kind may run more than once. */
+export function isRepeatable(kind: RequestKind): boolean {
+  return REPEATABLE_KINDS.has(kind);
 }
 
 /** The route of a request: the one of its host with the longest path prefix that matches. */
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -6,7 +6,7 @@
 import EntryDirectory from '../fleet/EntryDirectory.js';
 import FleetMembers from '../fleet/FleetMembers.js';
 import type { GatewayOptions } from './GatewayOptions.js';
-import { findRoute } from '../state/GatewayConfiguration.js';
+import { findRoute, isRepeatable } from '../state/GatewayConfiguration.js';
 import GatewayState from '../state/GatewayState.js';
 import IdleReuse from '../connections/IdleReuse.js';
 import OutstandingRequests from '../placement/OutstandingRequests.js';
@@ -157,6 +157,7 @@
     failures: sharedState.failures,
     crashes,
     retryBudgetShares: sharedState.retryBudgetShares,
+    workspaceField: options.targetFields.workspace,
     clock,
     random,
     counters,
@@ -184,9 +185,11 @@
     random: options.random,
     counters: options.counters,
     limits: () => state.configuration?.limits,
-    canOverlap: ({ host, path }) =>
-      state.configuration !== undefined &&
-      findRoute(state.configuration, host, path)?.kind === 'idempotent',
+    canOverlap: ({ host, path }) => {
+      if (state.configuration === undefined) return false;
+      const route = findRoute(state.configuration, host, path);
+      return route !== undefined && isRepeatable(route.kind);
+    },
     handle: async (exchange) => {
       const { configuration } = state;
       if (configuration !== undefined) server.applyLimits(configuration.limits);
