--- a/packages/gateway/src/workspaces/WorkspaceKeys.ts
+++ b/packages/gateway/src/workspaces/WorkspaceKeys.ts
@@ -45,5 +45,5 @@
 }
 
 function conflict(message: string): CactusrunError {
-  return new CactusrunError(message, { step: 'reading the keys of workspaces' });
+  return new CactusrunError(message, { step: 'decoding the configuration' });
 }
