Have a peer send requests to a service of which this daemon lost most targets

Change: LostTargets counts targets that refuse this daemon's connections, or do not answer them, while peers get answers from them. Where they are more than half of a service, a peer sends the request; one that lost them too refuses it, so that the next one is asked, and without any the targets that are left are used.

--- a/packages/gateway/src/__tests__/unit/AttemptTracker.test.ts
+++ b/packages/gateway/src/__tests__/unit/AttemptTracker.test.ts
@@ -1,5 +1,6 @@
 import { Counters, ManualClock, silentLogger } from '@cactusrun/core';
 import { beforeEach, describe, expect, it } from 'vitest';
+import createLostTargets from './createLostTargets.js';
 import AttemptTracker from '../../health/AttemptTracker.js';
 import EntryDirectory from '../../fleet/EntryDirectory.js';
 import FailureRates from '../../health/FailureRates.js';
@@ -48,6 +49,7 @@
       idleReuse: new IdleReuse(clock),
       retryBudgetShares: new RetryBudgetShares(BUDGET, () => 1, clock),
       ...notices,
+      lostTargets: createLostTargets(clock, targets),
       directory: new EntryDirectory(members, clock),
       link: {
         send: (_addresses, message) => {
--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -2,6 +2,8 @@
 import type { Socket } from 'node:net';
 import { Counters, createRandom, ManualClock, silentLogger } from '@cactusrun/core';
 import { CrashTracker } from '@cactusrun/requests';
+import createLostTargets from './createLostTargets.js';
+import type LostTargets from '../../reachability/LostTargets.js';
 import AttemptTracker from '../../health/AttemptTracker.js';
 import EntryDirectory from '../../fleet/EntryDirectory.js';
 import FailureRates from '../../health/FailureRates.js';
@@ -115,6 +117,8 @@
 
   public readonly reachability: TargetReachability;
 
+  public readonly lostTargets: LostTargets;
+
   private readonly counters = new Counters();
 
   private readonly targets: TargetTable;
@@ -131,6 +135,7 @@
       targets: this.targets,
       openConnection: () => this.openProbe(),
     });
+    this.lostTargets = createLostTargets(this.clock, this.targets);
     this.proxy = this.createProxy();
   }
 
@@ -186,7 +191,7 @@
   }
 
   private createProxy(): RequestProxy {
-    const { clock, targets, counters, reachability, state } = this;
+    const { clock, targets, counters, reachability, lostTargets, state } = this;
     const outstanding = new OutstandingRequests();
     const serviceTimes = new ServiceTimes();
     const failures = new FailureRates(clock);
@@ -201,6 +206,7 @@
       idleReuse: new IdleReuse(clock),
       retryBudgetShares,
       ...notices,
+      lostTargets,
       directory: createDirectory(clock),
       link: { send: () => true },
       clock,
@@ -228,6 +234,7 @@
       serviceTimes,
       reachability,
       relay: this.scriptedRelay() as unknown as PeerRelay,
+      lostTargets,
       crashes: new CrashTracker(clock, counters, () => {}),
       retryBudgetShares,
       workspaceField: 'X-Workspace',
--- a/packages/gateway/src/__tests__/unit/requestRelay.test.ts
+++ b/packages/gateway/src/__tests__/unit/requestRelay.test.ts
@@ -134,6 +134,38 @@
   });
 });
 
+describe('RequestProxy of a daemon that lost most targets of a service', () => {
+  let fixture: ProxyFixture;
+
+  beforeEach(() => {
+    fixture = new ProxyFixture();
+    fixture.relayResult = ANSWERED;
+    ['t0', 't1', 't2', 't3', 't4', 't5'].forEach((target) => {
+      fixture.lostTargets.recordFailure(target);
+      fixture.lostTargets.recordPeerAnswer(target);
+    });
+  });
+
+  it('has a peer send a request of that service', async () => {
+    const outcome = await fixture.handle(fixture.createExchange('non-idempotent'));
+    expect(describeOutcome(outcome)).toBe('200');
+    expect([fixture.sent.length, fixture.relayed.length]).toEqual([0, 1]);
+  });
+
+  it('uses the targets that are left when no peer takes the request', async () => {
+    fixture.relayResult = { kind: 'no-peer' };
+    const outcome = await fixture.handle(fixture.createExchange('non-idempotent'));
+    expect(describeOutcome(outcome)).toBe('200');
+    expect([fixture.sent.length, fixture.relayed.length]).toEqual([1, 1]);
+  });
+
+  it('refuses what a peer relays, so that the peer asks another one', async () => {
+    const exchange = fixture.createExchange('non-idempotent', { relayed: FROM_PEER });
+    expect(describeOutcome(await fixture.handle(exchange))).toBe('unreachable');
+    expect(fixture.sent).toEqual([]);
+  });
+});
+
 describe('RequestProxy of the peer', () => {
   let fixture: ProxyFixture;
 
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -13,6 +13,7 @@
 import type { GatewayRoute } from '../state/GatewayConfiguration.js';
 import { isRepeatable } from '../state/GatewayConfiguration.js';
 import type { RefusalReason } from '../callers/Refusal.js';
+import type LostTargets from '../reachability/LostTargets.js';
 import type PeerRelay from '../relay/PeerRelay.js';
 import type { RelayResult } from '../relay/PeerRelay.js';
 import type RetryBudgetShares from './RetryBudgetShares.js';
@@ -34,6 +35,7 @@
 export interface RequestExecutionParts extends AttemptParts {
   readonly picker: TargetPicker;
   readonly relay: PeerRelay;
+  readonly lostTargets: LostTargets;
   readonly crashes: CrashTracker;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly counters: Counters;
@@ -94,6 +96,9 @@
 
   private readonly connectionFailures: ConnectionFailures;
 
+  /** Whether peers were asked to send the request though this daemon reaches some targets. */
+  private hasAskedPeers = false;
+
   /** Set after the request was sent on an idle connection that the target had dropped. */
   private needsNewConnection = false;
 
@@ -131,7 +136,10 @@
   private readonly relayHandlers: RelayHandlers = {
     answered: ({ answer }) => ({ kind: 'done', outcome: { kind: 'answered', answer } }),
     refused: ({ reason, freeInMilliseconds }) => this.conclude(reason, freeInMilliseconds),
-    'no-peer': () => this.conclude('unreachable'),
+    'no-peer': () => {
+      const hasOwnTargets = this.hasAskedPeers && !this.parts.reachability.isCutOff;
+      return hasOwnTargets ? RETRY : this.conclude('unreachable');
+    },
     broken: () => this.handleFailure('connection-broke'),
     timeout: () => this.handleFailure('timeout'),
     cancelled: () => ({ kind: 'done', outcome: { kind: 'cancelled' } }),
@@ -177,6 +185,11 @@
     if (this.lacksTargets()) {
       return this.canRelay() ? this.relay() : this.conclude('unreachable');
     }
+    if (this.prefersPeer()) {
+      if (this.plan.exchange.relayed !== undefined) return this.conclude('unreachable');
+      this.hasAskedPeers = true;
+      return this.relay();
+    }
     if (this.connectionFailures.isExhausted) return this.conclude('unreachable');
     const picked = this.pick();
     if (picked.kind !== 'picked') {
@@ -195,6 +208,17 @@
     return this.connectionFailures.suggestCutOff && (isRelayed || this.canRelay());
   }
 
+  /**
+   * Whether a peer should send the request, since this daemon lost most targets of the service. A
+   * peer that lost them too refuses a relayed request, so that another one is asked; a daemon that
+   * finds no peer uses the targets that are left.
+   */
+  private prefersPeer(): boolean {
+    const { exchange, service } = this.plan;
+    const mayAsk = exchange.relayed === undefined ? this.canRelay() : this.excluded.size === 0;
+    return mayAsk && !this.hasAskedPeers && this.parts.lostTargets.hasLostMost(service);
+  }
+
   /** A relayed request is not relayed again, and one that may have run only if it is idempotent. */
   private canRelay(): boolean {
     const { exchange, route } = this.plan;
--- a/packages/gateway/src/health/AttemptTracker.ts
+++ b/packages/gateway/src/health/AttemptTracker.ts
@@ -11,6 +11,7 @@
 import type TargetRateLimits from '../limits/TargetRateLimits.js';
 import type OutstandingRequests from '../placement/OutstandingRequests.js';
 import type { PeerSender } from '../fleet/PeerLink.js';
+import type LostTargets from '../reachability/LostTargets.js';
 import type { AttemptOutcome, AttemptReport } from '../fleet/PeerMessage.js';
 import type RetryBudgetShares from '../execution/RetryBudgetShares.js';
 import type { TargetEntry } from '../state/TargetEntry.js';
@@ -55,6 +56,7 @@
   readonly rateLimits: TargetRateLimits;
   readonly leavingTargets: LeavingTargets;
   readonly backoffs: TargetBackoffs;
+  readonly lostTargets: LostTargets;
   readonly directory: EntryDirectory;
   readonly link: PeerSender;
   readonly clock: Clock;
@@ -99,6 +101,7 @@
     { requests, rateLimit }: Pick<TargetStatement, 'requests' | 'rateLimit'>,
   ): void {
     const outstanding = this.parts.outstanding.add(id, -1);
+    if (outcome !== undefined) this.parts.lostTargets.recordReached(id);
     const now = this.parts.clock.now();
     if (requests !== undefined) this.parts.outstanding.recordLoad(id, requests, now);
     const isNewRateLimit =
@@ -167,6 +170,7 @@
       ? CONNECT_REFUSED_BLOCK_MILLISECONDS
       : CONNECT_FAILURE_BLOCK_MILLISECONDS;
     target.blockedUntil = this.parts.clock.now() + forMilliseconds;
+    this.parts.lostTargets.recordFailure(id);
     this.parts.counters.add('steering', isRefused ? 'refused' : 'unreached');
     this.parts.logger.info('target-unreached', { target: id, isRefused, forMilliseconds });
   }
@@ -194,6 +198,7 @@
             .recordPeerAttempt(attemptKind === 'repeated');
           this.parts.rateLimits.recordAttempt(known.entry);
         }
+        if (outcome === 'good') this.parts.lostTargets.recordPeerAnswer(target);
         if (load !== undefined) this.parts.outstanding.recordLoad(target, load, now);
         if (outcome !== undefined) this.recordOutcome(target, outcome, elapsed ?? 0, peer);
         if (rateLimit !== undefined) {
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -14,6 +14,8 @@
 import { openConnection } from '../connections/openConnection.js';
 import type { PeerDescription } from '../fleet/PeerMessage.js';
 import PeerRelay from '../relay/PeerRelay.js';
+import LostTargets from '../reachability/LostTargets.js';
+import probeTarget from '../reachability/probeTarget.js';
 import TargetReachability from '../reachability/TargetReachability.js';
 import RateLimitShare from '../limits/RateLimitShare.js';
 import RequestProxy from '../execution/RequestProxy.js';
@@ -37,6 +39,7 @@
   /** Connections to peers, for relayed requests. */
   readonly peerConnections: TargetConnections;
   readonly reachability: TargetReachability;
+  readonly lostTargets: LostTargets;
   readonly relay: PeerRelay;
   readonly serviceTimes: ServiceTimes;
   readonly failures: FailureRates;
@@ -75,6 +78,13 @@
     counters,
     logger,
   });
+  const lostTargets = new LostTargets({
+    targets,
+    probe: ({ address }) => probeTarget(address, reachability.openConnection, clock),
+    clock,
+    counters,
+    logger,
+  });
   const connect = (open: OpenConnection, reuse: IdleReuse) =>
     new TargetConnections(options.targetFields, reuse, clock, counters, open);
   const connections = connect(reachability.openConnection, idleReuse);
@@ -104,6 +114,7 @@
       outstanding.forgetTarget(change.id);
       serviceTimes.forget(change.id);
       backoffs.forget(change.id);
+      lostTargets.forget(change.id);
     });
   });
   return {
@@ -112,6 +123,7 @@
     connections,
     peerConnections,
     reachability,
+    lostTargets,
     relay,
     serviceTimes,
     failures,
@@ -153,6 +165,7 @@
     connections: sharedState.connections,
     reachability: sharedState.reachability,
     relay: sharedState.relay,
+    lostTargets: sharedState.lostTargets,
     serviceTimes: sharedState.serviceTimes,
     failures: sharedState.failures,
     crashes,
--- a/packages/gateway/src/wiring/wireGateway.ts
+++ b/packages/gateway/src/wiring/wireGateway.ts
@@ -127,7 +127,7 @@
   { link, follower }: Links,
 ): Promise<Stop> {
   const { name, peerAddress, store, clock, logger, random } = options;
-  const { members, directory, state, reachability } = sharedState;
+  const { members, directory, state, reachability, lostTargets } = sharedState;
   const takeSnapshot = () => state.snapshot(members.knownAndSelf());
   const stopPeerState = await servePeerState(peerAddress, takeSnapshot, clock, options.counters);
   const stopLink = await link.start();
@@ -156,6 +156,7 @@
     follower.start(),
     startPeerDiscovery(discovery),
     reachability.start(),
+    lostTargets.start(),
     announceReachability(reachability, clock, (isCutOff) =>
       daemon.announceCutOff(isCutOff, members, link),
     ),
