Believe a peer's refused connections no more

Change: a refused connection counts only at the daemon that saw it. A target that has crashed costs each other daemon one refused connection.

--- a/packages/gateway/src/__tests__/unit/AttemptTracker.test.ts
+++ b/packages/gateway/src/__tests__/unit/AttemptTracker.test.ts
@@ -91,6 +91,22 @@
     });
   });
 
+  describe('a connection that was refused', () => {
+    const probability = () => targets.get('t')!.healthEstimate.unhealthyProbabilityAt(clock.now());
+
+    it('to a peer changes nothing here: the links of the peer may have failed', () => {
+      const before = probability();
+      tracker.applyReports('a', [{ target: 't', outstanding: 0, outcome: 'unreachable' }]);
+      expect(targets.get('t')!.blockedUntil).toBeLessThanOrEqual(clock.now());
+      expect(probability()).toBe(before);
+    });
+
+    it('to this daemon blocks the target here for a while', () => {
+      tracker.recordConnectFailure('t', true);
+      expect(targets.get('t')!.blockedUntil).toBe(clock.now() + 1_000);
+    });
+  });
+
   describe('the notice of a target', () => {
     const ENTRY = createTargetEntry('t', { bornAt: 5 });
 
--- a/packages/gateway/src/health/AttemptTracker.ts
+++ b/packages/gateway/src/health/AttemptTracker.ts
@@ -30,7 +30,7 @@
 const END_REPORT_DELAY_MILLISECONDS = 12;
 /** Receivers up to which started and ended attempts are reported after the delays above. */
 const RECEIVERS_AT_SHORTEST_DELAY = 6;
-/** All daemons stop connecting to a target for this long after it refused a connection. */
+/** This daemon stops connecting to a target for this long after it refused a connection. */
 const CONNECT_REFUSED_BLOCK_MILLISECONDS = 1_000;
 /** This daemon stops connecting to a target for this long after it failed to connect in time. */
 const CONNECT_FAILURE_BLOCK_MILLISECONDS = 2_000;
@@ -216,6 +216,8 @@
   ): void {
     const target = this.parts.targets.get(id);
     if (target === undefined) return;
+    // Only the peer's own links may have failed; trying the target costs less than a false suspicion.
+    if (outcome === 'unreachable' && source !== 'own') return;
     const now = this.parts.clock.now();
     if (outcome === 'unreachable') target.blockedUntil = now + CONNECT_REFUSED_BLOCK_MILLISECONDS;
     if (outcome === 'refused') {
