Relay keyed requests only to peers that authorize them; honour the time for which keys are trusted

Cause: a peer of an older build passes a relayed request on with the key in it, and names no workspace. A daemon that cannot hear of revoked keys accepted them without end, also where the platform demands otherwise. Change: daemons say that they authorize callers; keyed requests are relayed only to those.

--- a/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
@@ -122,7 +122,13 @@
       ...change,
     };
     const statement = { attemptsMade: 1, configurationVersion: 7 };
-    return { exchange, kind: 'once', deadline: clock.now() + 1_500, statement };
+    return {
+      exchange,
+      kind: 'once',
+      deadline: clock.now() + 1_500,
+      statement,
+      needsAuthorization: false,
+    };
   }
 
   describe('a relayed request', () => {
@@ -256,7 +262,15 @@
 
     it('is not there when peers of older programs take no relayed requests', () => {
       peers = [createPeerDescription('old')];
-      expect(relay.isAvailable).toBe(false);
+      expect(relay.isAvailable(false)).toBe(false);
+    });
+
+    it('is not there for keyed requests when peers of older programs authorize nobody', () => {
+      peers = [describePeer(PORTS.first)];
+      expect(relay.isAvailable(false)).toBe(true);
+      expect(relay.isAvailable(true)).toBe(false);
+      peers = [{ ...describePeer(PORTS.first), authorizesCallers: true }];
+      expect(relay.isAvailable(true)).toBe(true);
     });
   });
 
--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -30,6 +30,7 @@
 import TargetTable from '../../state/TargetTable.js';
 import createPeerDescription from './createPeerDescription.js';
 import type PeerRelay from '../../relay/PeerRelay.js';
+import type WorkspaceKeys from '../../workspaces/WorkspaceKeys.js';
 import type { RelayedRequest, RelayResult } from '../../relay/PeerRelay.js';
 import type TargetReachability from '../../reachability/TargetReachability.js';
 import createReachability, { connectAtOnce } from './createReachability.js';
@@ -82,6 +83,9 @@
   };
 }
 
+/** Keys are accepted for this long after the store last confirmed the configuration. */
+export const KEY_TRUST_MILLISECONDS = 5_000;
+
 const LIMITS = { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 };
 
 const BUDGET = { ratio: 0.2, fixedRetries: 40, windowMilliseconds: 10_000, regions: 1 };
@@ -89,6 +93,8 @@
 interface ProxyFixtureOptions {
   /** Whether the configuration and the registry are known from the start. */
   readonly hasState: boolean;
+  /** Keys that callers need, if they do. */
+  readonly workspaces?: WorkspaceKeys;
 }
 
 export function describeOutcome(outcome: CallerOutcome): string {
@@ -127,7 +133,10 @@
 
   private readonly proxy: RequestProxy;
 
-  constructor({ hasState }: ProxyFixtureOptions = { hasState: true }) {
+  private readonly workspaces: WorkspaceKeys | undefined;
+
+  constructor({ hasState, workspaces }: ProxyFixtureOptions = { hasState: true }) {
+    this.workspaces = workspaces;
     this.targets = new TargetTable(this.clock, DEFAULT_HEALTH_MODEL_PARAMETERS);
     this.state = this.createState();
     if (hasState) this.provideState();
@@ -146,6 +155,11 @@
     this.state.replaceTargets(targets, 1, 'test');
   }
 
+  /** Records that the store confirmed the configuration so long ago. */
+  public confirm(ageMilliseconds: number): void {
+    this.state.confirm(ageMilliseconds);
+  }
+
   public handle(exchange: CallerExchange): Promise<CallerOutcome> {
     return this.proxy.handle(exchange);
   }
@@ -179,7 +193,7 @@
       version: 1,
       limits: LIMITS,
       routes: new Map([['h', KINDS.map(createRoute)]]),
-      workspaces: undefined,
+      workspaces: this.workspaces,
     };
     return new GatewayState(
       () => configuration,
@@ -238,6 +252,7 @@
       crashes: new CrashTracker(clock, counters, () => {}),
       retryBudgetShares,
       workspaceField: 'X-Workspace',
+      keyTrustMilliseconds: KEY_TRUST_MILLISECONDS,
       clock,
       random,
       counters,
@@ -258,9 +273,7 @@
   private scriptedRelay(): Pick<PeerRelay, 'isAvailable' | 'send'> {
     const hasPeer = () => this.relayResult !== undefined;
     return {
-      get isAvailable() {
-        return hasPeer();
-      },
+      isAvailable: hasPeer,
       send: async (request) => {
         this.relayed.push(request);
         return this.relayResult ?? { kind: 'no-peer' };
--- a/packages/gateway/src/callers/Refusal.ts
+++ b/packages/gateway/src/callers/Refusal.ts
@@ -5,6 +5,7 @@
   | 'no-route'
   | 'unknown-key'
   | 'over-quota'
+  | 'stale-keys'
   | 'no-target'
   | 'overloaded'
   | 'rate-limited'
@@ -48,6 +49,12 @@
     retryAfterMilliseconds: 0,
     meaning: 'no workspace in force holds the key of the request',
   },
+  'stale-keys': {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 400,
+    meaning: 'this daemon has not heard for too long whether keys were revoked',
+  },
   'over-quota': {
     status: 429,
     isNotRun: true,
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -52,6 +52,8 @@
   readonly priority: number;
   /** Workspace of the caller, where callers have one. */
   readonly workspace: Workspace | undefined;
+  /** Whether callers need the key of a workspace. */
+  readonly needsAuthorization: boolean;
   /** Identifies the request by what stays the same when its caller retries. */
   readonly fingerprint: string;
   /** Version of the configuration that the route belongs to. */
@@ -221,20 +223,22 @@
 
   /** A relayed request is not relayed again, and one that may have run only if it is idempotent. */
   private canRelay(): boolean {
-    const { exchange, route } = this.plan;
-    if (exchange.relayed !== undefined || !this.parts.relay.isAvailable) return false;
+    const { exchange, route, needsAuthorization } = this.plan;
+    const isAvailable = this.parts.relay.isAvailable(needsAuthorization);
+    if (exchange.relayed !== undefined || !isAvailable) return false;
     if (this.failedAttempts === 0) return true;
     return this.isIdempotent() && this.failedAttempts < route.maximumAttempts;
   }
 
   /** Has a peer execute the request, which counts its retries there. */
   private async relay(): Promise<Step> {
-    const { exchange, route, deadline, version } = this.plan;
+    const { exchange, route, deadline, version, needsAuthorization } = this.plan;
     const result = await this.parts.relay.send({
       exchange,
       kind: sendKindOf(route),
       deadline,
       statement: { attemptsMade: this.failedAttempts, configurationVersion: version },
+      needsAuthorization,
     });
     const handle = this.relayHandlers[result.kind] as (result: RelayResult) => Step;
     return handle(result);
--- a/packages/gateway/src/execution/RequestProxy.ts
+++ b/packages/gateway/src/execution/RequestProxy.ts
@@ -4,7 +4,7 @@
 import type { CallerExchange, CallerOutcome } from '../callers/CallerExchange.js';
 import { refuse } from '../callers/CallerExchange.js';
 import type FailureRates from '../health/FailureRates.js';
-import type { GatewayRoute } from '../state/GatewayConfiguration.js';
+import type { GatewayConfiguration, GatewayRoute } from '../state/GatewayConfiguration.js';
 import { chooseService, findRoute } from '../state/GatewayConfiguration.js';
 import type GatewayState from '../state/GatewayState.js';
 import type { RefusalReason } from '../callers/Refusal.js';
@@ -29,6 +29,8 @@
   readonly failures: FailureRates;
   /** Name of the field that tells targets the workspace of the caller. */
   readonly workspaceField: string;
+  /** Time for which keys are accepted after the store last confirmed the configuration. */
+  readonly keyTrustMilliseconds: number;
 }
 
 export default class RequestProxy {
@@ -50,6 +52,8 @@
     if (route === undefined) return this.refuseUnrouted(exchange, 'no-route');
     const service = chooseService(route, random.unit());
     if (service === undefined) return this.refuseUnrouted(exchange, 'no-target');
+    const isStale = this.hasStaleKeys(configuration) && !route.isPublic;
+    if (isStale) return this.refuseUnrouted(exchange, 'stale-keys');
     const authorization = authorizeCaller({
       fields: exchange.fields,
       isPublic: route.isPublic,
@@ -71,6 +75,7 @@
           fields,
           priority: workspace?.priority ?? route.priority,
           workspace,
+          needsAuthorization: configuration.workspaces !== undefined,
           fingerprint,
           version: configuration.version,
           deadline,
@@ -79,6 +84,12 @@
     return outcome;
   }
 
+  /** Whether a key may have been revoked that this daemon, cut off from the news, still accepts. */
+  private hasStaleKeys({ workspaces }: GatewayConfiguration): boolean {
+    const { state, keyTrustMilliseconds } = this.parts;
+    return workspaces !== undefined && state.versions().ageMilliseconds > keyTrustMilliseconds;
+  }
+
   /** Waits briefly for the configuration and the registry, which arrive soon after the start. */
   private async awaitState(exchange: CallerExchange): Promise<void> {
     const { state, clock, counters } = this.parts;
--- a/packages/gateway/src/fleet/LocalDaemon.ts
+++ b/packages/gateway/src/fleet/LocalDaemon.ts
@@ -29,6 +29,7 @@
       region,
       state,
       ...(isCutOff ? { isCutOff } : {}),
+      authorizesCallers: true,
       capacity,
     };
   }
--- a/packages/gateway/src/fleet/PeerMessage.ts
+++ b/packages/gateway/src/fleet/PeerMessage.ts
@@ -21,6 +21,8 @@
   readonly state: DaemonState;
   /** Whether the daemon is cut off from all targets; absent means that it is not. */
   readonly isCutOff?: boolean;
+  /** Whether it authorizes relayed requests by the keys of workspaces; absent in older builds. */
+  readonly authorizesCallers?: boolean;
   /** Capacity for callers' requests, from 0 to 1; a host that is large enough has 1. */
   readonly capacity: number;
 }
--- a/packages/gateway/src/relay/PeerRelay.ts
+++ b/packages/gateway/src/relay/PeerRelay.ts
@@ -29,6 +29,8 @@
   /** Monotonic time by which the answer must have arrived. */
   readonly deadline: number;
   readonly statement: RelayStatement;
+  /** Whether only a peer that authorizes callers may execute the request. */
+  readonly needsAuthorization: boolean;
 }
 
 export type RelayResult =
@@ -65,9 +67,13 @@
 
   constructor(private readonly parts: PeerRelayParts) {}
 
-  /** Whether there is a peer to relay to. */
-  public get isAvailable(): boolean {
-    return this.candidates().length > 0;
+  /**
+   * Whether there is a peer to relay to.
+   *
+   * @param needsAuthorization - whether it must authorize callers, which older builds do not
+   */
+  public isAvailable(needsAuthorization: boolean): boolean {
+    return this.candidates(needsAuthorization).length > 0;
   }
 
   /** Ends the requests under way at a peer that is gone. */
@@ -79,7 +85,8 @@
 
   /** Relays a request to one peer, or to another one while it certainly did not run. */
   public async send(request: RelayedRequest): Promise<RelayResult> {
-    const peers = shuffle(this.parts.random, this.candidates()).slice(0, MAXIMUM_PEERS);
+    const candidates = this.candidates(request.needsAuthorization);
+    const peers = shuffle(this.parts.random, candidates).slice(0, MAXIMUM_PEERS);
     return this.sendToFirst(peers, request);
   }
 
@@ -132,11 +139,12 @@
     });
   }
 
-  private candidates(): readonly Peer[] {
+  private candidates(needsAuthorization: boolean): readonly Peer[] {
     const now = this.parts.clock.now();
     return this.parts.directory
       .relayPeers()
       .filter(({ name }) => (this.avoidedUntil.get(name) ?? 0) <= now)
+      .filter(({ authorizesCallers }) => !needsAuthorization || authorizesCallers === true)
       .filter((peer): peer is Peer => peer.relayAddress !== undefined);
   }
 }
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -30,6 +30,8 @@
   /** Capacity for callers' requests, from 0 to 1; a host that is large enough to serve them has 1. */
   readonly capacity: number;
   readonly retryBudget: RetryBudgetLimits;
+  /** Time for which keys are accepted after the store last confirmed the configuration. */
+  readonly keyTrustMilliseconds: number;
   /** Share of a service's healthy targets that must stay in use, from 0 to 1. */
   readonly floorShare: number;
   readonly stopTimes: StopTimes;
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -171,6 +171,7 @@
     crashes,
     retryBudgetShares: sharedState.retryBudgetShares,
     workspaceField: options.targetFields.workspace,
+    keyTrustMilliseconds: options.keyTrustMilliseconds,
     clock,
     random,
     counters,
