Bound what a fleet without a usable configuration asks of the store

Cause: a daemon without a configuration counted as a reader of the store whatever it had read, all ranks were 0 while no daemon was ready, and a daemon whose build did not understand the version that peers announced fetched it and read the store every 400 ms. Change: a refused document is decoded and logged once, by digest; daemons without a usable document trust a peer that reads, take over after a silence drawn by each, and pause with growing jittered pauses; a version that was refused is fetched again only now and then; catching up backs off.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export { default as ConfigurationRefusedError } from './state/ConfigurationRefusedError.js';
 export { chooseService, findRoute, isRepeatable } from './state/GatewayConfiguration.js';
 export { listen } from './state/PeerStateServer.js';
 export { openConnection } from './connections/openConnection.js';
--- a/packages/gateway/src/state/GatewayState.ts
+++ b/packages/gateway/src/state/GatewayState.ts
@@ -1,9 +1,11 @@
 /** The configuration in force and the registry of targets, as one daemon holds them. */
 import type { Clock, Logger } from '@cactusrun/core';
 import { describeError } from '@cactusrun/core';
+import ConfigurationRefusedError from './ConfigurationRefusedError.js';
 import type { GatewayConfiguration } from './GatewayConfiguration.js';
 import type { StorePosition } from './GatewayStore.js';
 import type { KnownVersions, PeerAddress } from '../fleet/PeerMessage.js';
+import RefusedDocuments from './RefusedDocuments.js';
 import type { TargetChange, TargetEntry } from './TargetEntry.js';
 import type TargetTable from './TargetTable.js';
 
@@ -30,6 +32,8 @@
   /** Resolve the promises that wait until requests can be served. */
   private waiters: (() => void)[] = [];
 
+  private readonly refused = new RefusedDocuments();
+
   constructor(
     private readonly decode: (document: string) => GatewayConfiguration,
     private readonly targets: TargetTable,
@@ -55,6 +59,16 @@
     return this.activeConfiguration !== undefined && this.registryPosition !== NO_VERSION;
   }
 
+  /** Whether requests cannot be served because no document that was provided can be decoded. */
+  public get lacksUsableDocument(): boolean {
+    return this.activeConfiguration === undefined && !this.refused.isEmpty;
+  }
+
+  /** Whether a document that states this version could not be decoded. */
+  public hasRefused(version: number): boolean {
+    return this.refused.hasVersion(version);
+  }
+
   /** Resolves once requests can be served. */
   public async whenComplete(): Promise<void> {
     if (this.isComplete) return;
@@ -76,8 +90,12 @@
     this.confirmedAt = Math.max(this.confirmedAt, this.clock.now() - ageMilliseconds);
   }
 
-  /** Applies a configuration if it is newer; one that cannot be decoded changes nothing. */
+  /**
+   * Applies a configuration if it is newer; one that cannot be decoded changes nothing and is logged
+   * once.
+   */
   public applyDocument(document: string, source: string): void {
+    if (this.refused.has(document)) return;
     const configuration = this.tryDecode(document, source);
     if (configuration === undefined) return;
     const before = this.activeConfiguration?.version ?? NO_VERSION;
@@ -150,7 +168,14 @@
     try {
       return this.decode(document);
     } catch (error) {
-      this.logger.warn('configuration-not-understood', { source, cause: describeError(error) });
+      const version = error instanceof ConfigurationRefusedError ? error.version : undefined;
+      this.refused.add(document, version);
+      this.logger.warn('configuration-not-understood', {
+        version,
+        inForce: this.activeConfiguration?.version,
+        source,
+        cause: describeError(error),
+      });
       return undefined;
     }
   }
--- a/packages/gateway/src/state/StateFollower.ts
+++ b/packages/gateway/src/state/StateFollower.ts
@@ -11,6 +11,7 @@
 import type { KnownVersions, PeerMessage } from '../fleet/PeerMessage.js';
 import type { PeerStateFetcherParts } from './PeerStateFetcher.js';
 import PeerStateFetcher from './PeerStateFetcher.js';
+import RefusalPacer from './RefusalPacer.js';
 import RegistryReader from './RegistryReader.js';
 import StoreAvailability from './StoreAvailability.js';
 
@@ -24,8 +25,6 @@
 const LATER_RANK_DELAY_MILLISECONDS = 10;
 const MAXIMUM_RANK_DELAY_MILLISECONDS = 1_500;
 const CHECK_INTERVAL_MILLISECONDS = 100;
-/** Time for peers to provide a newer configuration, after which the store is read. */
-const PEER_CATCH_UP_MILLISECONDS = 400;
 
 /** Time over which the first reads are spread when the whole fleet starts. */
 const FIRST_READ_SPREAD_MILLISECONDS = 1_500;
@@ -52,8 +51,13 @@
 
   private readonly availability: StoreAvailability;
 
-  /** Monotonic time since which a peer is known to have a newer configuration. */
-  private behindSince: number | undefined;
+  private readonly pacer: RefusalPacer;
+
+  /** Monotonic time at which the store is read, unless peers provide their newer configuration. */
+  private catchUpAt: number | undefined;
+
+  /** Monotonic time from which a version that could not be decoded is fetched again. */
+  private refetchAt = Number.NEGATIVE_INFINITY;
 
   /** Monotonic time until which the first read waits for updates from peers. */
   private firstReadAt = 0;
@@ -62,6 +66,7 @@
     this.fetcher = new PeerStateFetcher(parts);
     this.registry = new RegistryReader(parts);
     this.configuration = new ConfigurationReader(parts);
+    this.pacer = new RefusalPacer(parts.clock, parts.random);
     const fetchFrom = (address: string) => this.fetchFrom(address);
     this.availability = new StoreAvailability({ ...parts, fetchFrom });
   }
@@ -95,13 +100,15 @@
   public compareVersions(versions: KnownVersions, peer: string): void {
     const { state, members } = this.parts;
     const own = state.versions();
-    const isBehind = versions.configuration > own.configuration || versions.targets > own.targets;
+    const isConfigurationNewer = versions.configuration > own.configuration;
+    const isConfigurationUsable = isConfigurationNewer && !state.hasRefused(versions.configuration);
+    if (isConfigurationUsable) this.catchUpAt ??= this.nextCatchUp();
+    const isBehind = isConfigurationUsable || versions.targets > own.targets;
     if (!isBehind) {
-      this.behindSince = undefined;
+      this.forgetCatchUp();
       if (versions.targets === own.targets) state.confirm(versions.ageMilliseconds);
-      return;
     }
-    if (versions.configuration > own.configuration) this.behindSince ??= this.parts.clock.now();
+    if (!isBehind && !(isConfigurationNewer && this.isRefetchDue())) return;
     const address = members.get(peer)?.description.address;
     if (address !== undefined) this.fetchFrom(address).catch(() => {});
   }
@@ -114,27 +121,45 @@
   /** Whether this daemon reads the store: it is the first of its region, or updates are missing. */
   private get isReader(): boolean {
     const { members, state, clock } = this.parts;
+    if (state.lacksUsableDocument && state.position >= 0) {
+      return this.pacer.isTakeOverDue(this.peerReadAt);
+    }
     if (!state.isComplete) return clock.now() >= this.firstReadAt;
     const rank = members.rank();
     if (rank === 0) return true;
     return clock.now() - this.peerReadAt > STALE_MILLISECONDS + rankDelay(rank);
   }
 
-  private get isBehind(): boolean {
-    if (this.behindSince === undefined) return false;
-    return this.parts.clock.now() - this.behindSince > PEER_CATCH_UP_MILLISECONDS;
+  private nextCatchUp(): number {
+    return this.parts.clock.now() + this.pacer.nextPause('catching-up');
+  }
+
+  private forgetCatchUp(): void {
+    this.catchUpAt = undefined;
+    this.pacer.reset('catching-up');
+  }
+
+  /** A version that could not be decoded may have been written anew: it is fetched now and then. */
+  private isRefetchDue(): boolean {
+    const now = this.parts.clock.now();
+    if (now < this.refetchAt) return false;
+    this.refetchAt = now + this.pacer.nextPause('fetching');
+    return true;
   }
 
   private async followTargets(signal: AbortSignal): Promise<void> {
-    const { clock } = this.parts;
-    if (this.isBehind) await this.catchUp(signal);
+    const { clock, state } = this.parts;
+    if (this.catchUpAt !== undefined && clock.now() > this.catchUpAt) await this.catchUp(signal);
     if (!this.isReader) {
       await clock.sleep(CHECK_INTERVAL_MILLISECONDS, signal);
       return;
     }
     try {
       await this.registry.read(() => this.availability.recordSuccess(), signal);
-      await clock.sleep(REGISTRY_READ_MILLISECONDS, signal);
+      const pause = state.lacksUsableDocument
+        ? this.pacer.nextPause('reading-targets')
+        : REGISTRY_READ_MILLISECONDS;
+      await clock.sleep(pause, signal);
     } catch (error) {
       if (signal.aborted) return;
       await this.availability.handleFailure('reading targets', error);
@@ -144,7 +169,7 @@
 
   /** Reads the configuration that a peer announced and did not provide. */
   private async catchUp(signal: AbortSignal): Promise<void> {
-    this.behindSince = this.parts.clock.now();
+    this.catchUpAt = this.nextCatchUp();
     try {
       await this.configuration.readNewest(signal);
     } catch (error) {
@@ -154,16 +179,20 @@
   }
 
   private async followConfiguration(signal: AbortSignal): Promise<void> {
+    const { clock, state } = this.parts;
     if (!this.isReader) {
       this.configuration.reset();
-      await this.parts.clock.sleep(CHECK_INTERVAL_MILLISECONDS, signal);
+      await clock.sleep(CHECK_INTERVAL_MILLISECONDS, signal);
       return;
     }
     try {
       const hasRead = await this.configuration.read(signal);
-      if (!hasRead) return;
-      this.behindSince = undefined;
-      this.registry.announceVersions();
+      if (hasRead) {
+        this.forgetCatchUp();
+        this.registry.announceVersions();
+      }
+      if (!state.lacksUsableDocument) return;
+      await clock.sleep(this.pacer.nextPause('reading-configuration'), signal);
     } catch (error) {
       if (signal.aborted) return;
       await this.availability.handleFailure('reading the configuration', error);
