--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -11,6 +11,8 @@
   GatewayRoute,
   RequestKind,
 } from '../../state/GatewayConfiguration.js';
+import HedgePolicy from '../../hedging/HedgePolicy.js';
+import SlotOccupancy from '../../hedging/SlotOccupancy.js';
 import GatewayState from '../../state/GatewayState.js';
 import IdleReuse from '../../connections/IdleReuse.js';
 import OutstandingRequests from '../../placement/OutstandingRequests.js';
@@ -34,7 +36,7 @@
 import createTargetNotices from './createTargetNotices.js';
 import createTargetEntry from './createTargetEntry.js';
 
-const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload'];
+const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload', 'download'];
 
 /** A target that answers without a limit states that it has none. */
 const UNLIMITED: TargetStatement = { ...NOTHING_STATED, rateLimit: 'unlimited' };
@@ -86,7 +88,9 @@
 
 interface ProxyFixtureOptions {
   /** Whether the configuration and the registry are known from the start. */
-  readonly hasState: boolean;
+  readonly hasState?: boolean;
+  /** Hedged requests per request; none if absent. */
+  readonly hedgeShare?: number;
 }
 
 export function describeOutcome(outcome: CallerOutcome): string {
@@ -115,7 +119,9 @@
 
   public readonly reachability: TargetReachability;
 
-  private readonly counters = new Counters();
+  public readonly counters = new Counters();
+
+  public readonly outstanding = new OutstandingRequests();
 
   private readonly targets: TargetTable;
 
@@ -123,7 +129,7 @@
 
   private readonly proxy: RequestProxy;
 
-  constructor({ hasState }: ProxyFixtureOptions = { hasState: true }) {
+  constructor({ hasState = true, hedgeShare = 0 }: ProxyFixtureOptions = {}) {
     this.targets = new TargetTable(this.clock, DEFAULT_HEALTH_MODEL_PARAMETERS);
     this.state = this.createState();
     if (hasState) this.provideState();
@@ -131,7 +137,7 @@
       targets: this.targets,
       openConnection: () => this.openProbe(),
     });
-    this.proxy = this.createProxy();
+    this.proxy = this.createProxy(hedgeShare);
   }
 
   /** Provides the proxy with a configuration and a registry. */
@@ -185,9 +191,8 @@
     );
   }
 
-  private createProxy(): RequestProxy {
-    const { clock, targets, counters, reachability, state } = this;
-    const outstanding = new OutstandingRequests();
+  private createProxy(hedgeShare: number): RequestProxy {
+    const { clock, targets, counters, outstanding, reachability, state } = this;
     const serviceTimes = new ServiceTimes();
     const failures = new FailureRates(clock);
     const random = createRandom(3);
@@ -222,6 +227,13 @@
     return new RequestProxy({
       state,
       picker,
+      hedging: new HedgePolicy({
+        share: hedgeShare,
+        occupancy: new SlotOccupancy(targets, outstanding, clock),
+        reachability,
+        clock,
+        counters,
+      }),
       failures,
       attemptTracker,
       connections: this.scriptedConnections() as unknown as TargetConnections,
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -10,6 +10,8 @@
 import { judgeAnswer } from './judgeAnswer.js';
 import type { CallerExchange, CallerOutcome } from '../callers/CallerExchange.js';
 import { refuse } from '../callers/CallerExchange.js';
+import type HedgePolicy from '../hedging/HedgePolicy.js';
+import type { HedgedAttempt } from '../hedging/HedgePolicy.js';
 import type { GatewayRoute } from '../state/GatewayConfiguration.js';
 import { isRepeatable } from '../state/GatewayConfiguration.js';
 import type { RefusalReason } from '../callers/Refusal.js';
@@ -33,6 +35,7 @@
 
 export interface RequestExecutionParts extends AttemptParts {
   readonly picker: TargetPicker;
+  readonly hedging: HedgePolicy;
   readonly relay: PeerRelay;
   readonly crashes: CrashTracker;
   readonly retryBudgetShares: RetryBudgetShares;
@@ -241,11 +244,25 @@
     return isGranted;
   }
 
-  /** Sends to the picked target; an idempotent request that stalls there is hedged on a second one. */
+  /** Sends to the picked target; an idempotent request that is slow there is hedged on a second one. */
   private async send(pick: Pick): Promise<Step> {
+    const { hedging, clock } = this.parts;
+    const { service, route } = this.plan;
+    const startedAt = clock.now();
     const first = this.start(pick);
-    const ended = first.result.then(() => true);
-    const hasEnded = await Promise.race([ended, first.stalled.then(() => false)]);
+    const attempt = { service, route, startedAt, result: first.result };
+    const ended = first.result.then(() => 'ended' as const);
+    const stalled = first.stalled.then(() => 'stalled' as const);
+    const slow = hedging.watch(attempt).then(() => 'slow' as const);
+    const event = await Promise.race([ended, stalled, slow]);
+    const second = event === 'slow' ? this.hedgeSlow(attempt) : undefined;
+    if (second !== undefined) return this.settleEither(first, second);
+    const hasEnded = (await Promise.race([ended, stalled])) === 'ended';
+    return this.awaitRest(first, hasEnded);
+  }
+
+  /** Awaits an attempt that has ended, or has stalled and may be given up or hedged. */
+  private async awaitRest(first: RunningAttempt, hasEnded: boolean): Promise<Step> {
     const mayRelay = this.parts.reachability.isCutOff && this.isIdempotent() && this.canRelay();
     if (!hasEnded && mayRelay) return this.abandon(first);
     const second = hasEnded ? undefined : this.hedge();
@@ -254,6 +271,8 @@
 
   private start(pick: Pick): RunningAttempt {
     const { exchange, fields, route, service, deadline } = this.plan;
+    const isFirst = this.excluded.size === 0 && (exchange.relayed?.attemptsMade ?? 0) === 0;
+    if (isFirst) this.parts.hedging.recordRequest(service);
     this.excluded.add(pick.target.entry.id);
     const isRetry = this.failedAttempts + this.attemptsInProgress > 0;
     this.attemptsInProgress += 1;
@@ -286,6 +305,22 @@
     return this.handleFailure('connection-broke');
   }
 
+  /** Hedges a slow attempt within the share of extra work that operators accept. */
+  private hedgeSlow(attempt: HedgedAttempt): RunningAttempt | undefined {
+    const { hedging, counters } = this.parts;
+    const pick = hedging.choose(attempt, () => this.pick(), this.plan.deadline);
+    if (pick === undefined) return undefined;
+    if (!this.withdrawRetry()) {
+      hedging.recordDenial('no-retry-left');
+      return undefined;
+    }
+    counters.add('retries', 'hedged');
+    const second = this.start(pick);
+    hedging.recordHedge(attempt, second.result);
+    return second;
+  }
+
+  /** Hedges an attempt that has stalled, as a retry of one that is presumed lost. */
   private hedge(): RunningAttempt | undefined {
     if (!this.isIdempotent()) return undefined;
     const picked = this.pick();
--- a/packages/gateway/src/reachability/TargetReachability.ts
+++ b/packages/gateway/src/reachability/TargetReachability.ts
@@ -95,9 +95,14 @@
     return this.lastContactAt.connection >= time;
   }
 
+  /** Whether any target has answered or accepted a connection since the monotonic time. */
+  public hasHeardSince(time: number): boolean {
+    return Math.max(this.lastContactAt.connection, this.lastContactAt.answer) >= time;
+  }
+
   /** Checks whether targets are reachable if none has been heard since the monotonic time. */
   public checkUnlessHeardSince(time: number): void {
-    if (Math.max(this.lastContactAt.connection, this.lastContactAt.answer) < time) this.doubt();
+    if (!this.hasHeardSince(time)) this.doubt();
   }
 
   /**
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -32,6 +32,8 @@
   readonly retryBudget: RetryBudgetLimits;
   /** Share of a service's healthy targets that must stay in use, from 0 to 1. */
   readonly floorShare: number;
+  /** Hedged requests that operators accept per request of a service, from 0 (none) to 1. */
+  readonly hedgeShare: number;
   readonly stopTimes: StopTimes;
   readonly targetFields: TargetFieldNames;
   readonly callerFields: CallerFieldNames;
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -7,6 +7,8 @@
 import FleetMembers from '../fleet/FleetMembers.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 import { findRoute, isRepeatable } from '../state/GatewayConfiguration.js';
+import HedgePolicy from '../hedging/HedgePolicy.js';
+import SlotOccupancy from '../hedging/SlotOccupancy.js';
 import GatewayState from '../state/GatewayState.js';
 import IdleReuse from '../connections/IdleReuse.js';
 import OutstandingRequests from '../placement/OutstandingRequests.js';
@@ -149,6 +151,7 @@
   return new RequestProxy({
     state: sharedState.state,
     picker,
+    hedging: buildHedging(options, sharedState),
     attemptTracker,
     connections: sharedState.connections,
     reachability: sharedState.reachability,
@@ -165,6 +168,14 @@
   });
 }
 
+function buildHedging(
+  { hedgeShare: share, clock, counters }: GatewayOptions,
+  { targets, outstanding, reachability }: SharedState,
+): HedgePolicy {
+  const occupancy = new SlotOccupancy(targets, outstanding, clock);
+  return new HedgePolicy({ share, occupancy, reachability, clock, counters });
+}
+
 /** Which requests a server takes: those of callers, or those that peers relay. */
 interface ServerRole {
   readonly address: string;
