--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -13,6 +13,8 @@
   GatewayRoute,
   RequestKind,
 } from '../../state/GatewayConfiguration.js';
+import HedgePolicy from '../../hedging/HedgePolicy.js';
+import SlotOccupancy from '../../hedging/SlotOccupancy.js';
 import GatewayState from '../../state/GatewayState.js';
 import IdleReuse from '../../connections/IdleReuse.js';
 import OutstandingRequests from '../../placement/OutstandingRequests.js';
@@ -37,7 +39,7 @@
 import createTargetNotices from './createTargetNotices.js';
 import createTargetEntry from './createTargetEntry.js';
 
-const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload'];
+const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload', 'download'];
 
 /** A target that answers without a limit states that it has none. */
 const UNLIMITED: TargetStatement = { ...NOTHING_STATED, rateLimit: 'unlimited' };
@@ -92,9 +94,11 @@
 
 interface ProxyFixtureOptions {
   /** Whether the configuration and the registry are known from the start. */
-  readonly hasState: boolean;
   /** Keys that callers need, if they do. */
   readonly workspaces?: WorkspaceKeys;
+  readonly hasState?: boolean;
+  /** Hedged requests per request; none if absent. */
+  readonly hedgeShare?: number;
 }
 
 export function describeOutcome(outcome: CallerOutcome): string {
@@ -125,7 +129,9 @@
 
   public readonly lostTargets: LostTargets;
 
-  private readonly counters = new Counters();
+  public readonly counters = new Counters();
+
+  public readonly outstanding = new OutstandingRequests();
 
   private readonly targets: TargetTable;
 
@@ -135,7 +141,7 @@
 
   private readonly workspaces: WorkspaceKeys | undefined;
 
-  constructor({ hasState, workspaces }: ProxyFixtureOptions = { hasState: true }) {
+  constructor({ hasState = true, workspaces, hedgeShare = 0 }: ProxyFixtureOptions = {}) {
     this.workspaces = workspaces;
     this.targets = new TargetTable(this.clock, DEFAULT_HEALTH_MODEL_PARAMETERS);
     this.state = this.createState();
@@ -145,7 +151,7 @@
       openConnection: () => this.openProbe(),
     });
     this.lostTargets = createLostTargets(this.clock, this.targets);
-    this.proxy = this.createProxy();
+    this.proxy = this.createProxy(hedgeShare);
   }
 
   /** Provides the proxy with a configuration and a registry. */
@@ -204,9 +210,8 @@
     );
   }
 
-  private createProxy(): RequestProxy {
-    const { clock, targets, counters, reachability, lostTargets, state } = this;
-    const outstanding = new OutstandingRequests();
+  private createProxy(hedgeShare: number): RequestProxy {
+    const { clock, targets, counters, outstanding, reachability, lostTargets, state } = this;
     const serviceTimes = new ServiceTimes();
     const failures = new FailureRates(clock);
     const random = createRandom(3);
@@ -242,6 +247,13 @@
     return new RequestProxy({
       state,
       picker,
+      hedging: new HedgePolicy({
+        share: hedgeShare,
+        occupancy: new SlotOccupancy(targets, outstanding, clock),
+        reachability,
+        clock,
+        counters,
+      }),
       failures,
       attemptTracker,
       connections: this.scriptedConnections() as unknown as TargetConnections,
