Placement: once-only requests go where others succeeded; bytes of answers count

Cause: requests that must run once were used as trials of idle and new targets although requests of the same service that may be retried could find out, and the network cost knew only the request's body, so that large answers crossed zones and regions. AnswerSizes learns the mean answer of each route; both directions count.

--- a/packages/gateway/src/connections/TargetAttempt.ts
+++ b/packages/gateway/src/connections/TargetAttempt.ts
@@ -29,6 +29,8 @@
   /** The whole body, or its first part when `bodyRest` follows. */
   readonly bodyStart: Buffer;
   readonly bodyRest: Readable | undefined;
+  /** Length of the whole body, where the answer states it. */
+  readonly bodyBytes?: number;
   /** What the target states of itself. */
   readonly stated: TargetStatement;
   /** Whether the body is framed explicitly, rather than ended by the end of the connection. */
--- a/packages/gateway/src/connections/readTargetAnswer.ts
+++ b/packages/gateway/src/connections/readTargetAnswer.ts
@@ -65,6 +65,7 @@
     fields: endToEndHeaders(listHeaders(response.rawHeaders), isFraming),
     bodyStart,
     bodyRest,
+    ...readBodyBytes(response),
     stated: readStatement(response, names),
     isFramed:
       response.headers['content-length'] !== undefined ||
@@ -74,6 +75,12 @@
   };
 }
 
+/** The length of the body that the answer states; the parser has refused what is not a number. */
+function readBodyBytes({ headers }: IncomingMessage): Pick<TargetAnswer, 'bodyBytes'> {
+  const length = headers['content-length'];
+  return length === undefined ? {} : { bodyBytes: Number(length) };
+}
+
 /** How long a connection may stay idle after the answer, in milliseconds. */
 export function readIdleTime(response: IncomingMessage): number {
   const stated = /timeout=(\d+)/.exec(String(response.headers['keep-alive'] ?? ''))?.[1];
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -25,6 +25,7 @@
   TargetAnswer,
 } from '../connections/TargetAttempt.js';
 import type { Workspace } from '../workspaces/Workspace.js';
+import type AnswerSizes from '../placement/AnswerSizes.js';
 import type TargetPicker from '../placement/TargetPicker.js';
 import type { Pick, PickResult } from '../placement/TargetPicker.js';
 
@@ -34,6 +35,8 @@
 export interface RequestExecutionParts extends AttemptParts {
   readonly picker: TargetPicker;
   readonly relay: PeerRelay;
+  /** Learns the lengths of answers; if absent, they do not count in the choice of targets. */
+  readonly answerSizes?: AnswerSizes;
   readonly crashes: CrashTracker;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly counters: Counters;
@@ -222,6 +225,7 @@
       service,
       kind: route.kind,
       bodyBytes: exchange.body.length,
+      answerBytes: this.parts.answerSizes?.meanOf(route.name) ?? 0,
       objectiveMilliseconds: route.objectiveMilliseconds,
       remainingMilliseconds: deadline - this.parts.clock.now(),
       excluded: this.excluded,
@@ -318,8 +322,11 @@
   }
 
   private handleAnswer(answer: TargetAnswer): Step {
-    const { exchange, fingerprint } = this.plan;
+    const { exchange, fingerprint, route } = this.plan;
     this.parts.crashes.recordAnswer(fingerprint);
+    if (answer.isSigned) {
+      this.parts.answerSizes?.record(route.name, answer.bodyBytes ?? answer.bodyStart.length);
+    }
     const verdict = judgeAnswer(answer, this.isIdempotent() && exchange.isFollowed());
     return this.answerHandlers[verdict](answer);
   }
--- a/packages/gateway/src/placement/TargetCoverage.ts
+++ b/packages/gateway/src/placement/TargetCoverage.ts
@@ -35,15 +35,22 @@
    * The targets that are due for a request.
    *
    * @param targets - reachable targets of the service
+   * @param isScouted - whether the request should be spared because others can try idle targets; at
+   *   a high failure rate none is
    */
-  public due(service: string, targets: readonly KnownTarget[]): ReadonlyMap<string, DueReason> {
+  public due(
+    service: string,
+    targets: readonly KnownTarget[],
+    isScouted = false,
+  ): ReadonlyMap<string, DueReason> {
+    const hasHighFailureRate = this.failures.rateOf(service) >= HIGH_FAILURE_RATE;
+    if (isScouted && !hasHighFailureRate) return NOTHING_DUE;
     const now = this.clock.now();
     const eligible = targets.filter(
       ({ healthEstimate }) => now - healthEstimate.failedAt > FAILURE_COOLDOWN_MILLISECONDS,
     );
     const idle = eligible.filter(({ usedAt }) => now - usedAt > IDLE_MILLISECONDS);
     if (eligible.length - idle.length >= eligible.length * this.floorShare) return NOTHING_DUE;
-    const hasHighFailureRate = this.failures.rateOf(service) >= HIGH_FAILURE_RATE;
     return new Map(
       idle.flatMap(({ entry, healthEstimate }): [string, DueReason][] => {
         if (healthEstimate.unhealthyProbabilityAt(now) < IDLE_DUE_PROBABILITY)
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -1,5 +1,6 @@
 /** Constructs the state and the request path of one daemon, without its links to peers. */
 import type { CrashTracker } from '@cactusrun/requests';
+import AnswerSizes from '../placement/AnswerSizes.js';
 import type AttemptTracker from '../health/AttemptTracker.js';
 import CallerServer from '../callers/CallerServer.js';
 import FailureRates from '../health/FailureRates.js';
@@ -149,6 +150,7 @@
   return new RequestProxy({
     state: sharedState.state,
     picker,
+    answerSizes: new AnswerSizes(),
     attemptTracker,
     connections: sharedState.connections,
     reachability: sharedState.reachability,
