--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -28,6 +28,7 @@
   TargetAnswer,
 } from '../connections/TargetAttempt.js';
 import type { Workspace } from '../workspaces/Workspace.js';
+import type AnswerSizes from '../placement/AnswerSizes.js';
 import type TargetPicker from '../placement/TargetPicker.js';
 import type { Pick, PickResult } from '../placement/TargetPicker.js';
 
@@ -39,6 +40,8 @@
   readonly hedging: HedgePolicy;
   readonly relay: PeerRelay;
   readonly lostTargets: LostTargets;
+  /** Learns the lengths of answers; if absent, they do not count in the choice of targets. */
+  readonly answerSizes?: AnswerSizes;
   readonly crashes: CrashTracker;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly counters: Counters;
@@ -253,6 +256,7 @@
       service,
       kind: route.kind,
       bodyBytes: exchange.body.length,
+      answerBytes: this.parts.answerSizes?.meanOf(route.name) ?? 0,
       objectiveMilliseconds: route.objectiveMilliseconds,
       remainingMilliseconds: deadline - this.parts.clock.now(),
       excluded: this.excluded,
@@ -381,8 +385,11 @@
   }
 
   private handleAnswer(answer: TargetAnswer): Step {
-    const { exchange, fingerprint } = this.plan;
+    const { exchange, fingerprint, route } = this.plan;
     this.parts.crashes.recordAnswer(fingerprint);
+    if (answer.isSigned) {
+      this.parts.answerSizes?.record(route.name, answer.bodyBytes ?? answer.bodyStart.length);
+    }
     const verdict = judgeAnswer(answer, this.isIdempotent() && exchange.isFollowed());
     return this.answerHandlers[verdict](answer);
   }
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -1,5 +1,6 @@
 /** Constructs the state and the request path of one daemon, without its links to peers. */
 import type { CrashTracker } from '@cactusrun/requests';
+import AnswerSizes from '../placement/AnswerSizes.js';
 import type AttemptTracker from '../health/AttemptTracker.js';
 import CallerServer from '../callers/CallerServer.js';
 import FailureRates from '../health/FailureRates.js';
@@ -164,6 +165,7 @@
     state: sharedState.state,
     picker,
     hedging: buildHedging(options, sharedState),
+    answerSizes: new AnswerSizes(),
     attemptTracker,
     connections: sharedState.connections,
     reachability: sharedState.reachability,
