Admit requests by priority, then fairly among workspaces, when slots are taken

Cause: nothing looked at priority or workspace. Under overload requests queued at the targets in order of arrival, and were refused only when no target would answer before the deadline.

Change: beside free slots nothing changes. Otherwise a request has an allowance, how full the targets of the region may be for it to be sent; it is larger for urgent requests and grows with the wait. What waits is ordered by priority, start-time fair queueing among workspaces and arrival, and is refused when the wait does not pay. Refused callers get return times at the rate at which room comes free.

--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -32,6 +32,7 @@
 import type TargetReachability from '../../reachability/TargetReachability.js';
 import createReachability, { connectAtOnce } from './createReachability.js';
 import createTargetNotices from './createTargetNotices.js';
+import createRequestAdmission from './createRequestAdmission.js';
 import createTargetEntry from './createTargetEntry.js';
 
 const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload'];
@@ -228,6 +229,13 @@
       serviceTimes,
       reachability,
       relay: this.scriptedRelay() as unknown as PeerRelay,
+      requestAdmission: createRequestAdmission(clock, {
+        targets,
+        outstanding,
+        serviceTimes,
+        targetAdmission: notices.admission,
+        reachability,
+      }),
       crashes: new CrashTracker(clock, counters, () => {}),
       retryBudgetShares,
       workspaceField: 'X-Workspace',
--- a/packages/gateway/src/callers/AnswerWriter.ts
+++ b/packages/gateway/src/callers/AnswerWriter.ts
@@ -9,7 +9,7 @@
 
 /** Relative jitter of the retry-after time around its mean. */
 const RETRY_AFTER_JITTER = 0.5;
-/** Callers return spread over this time after the earliest moment that is known. */
+/** Unless the reason says otherwise, callers return spread over this time after a known moment. */
 const RETURN_SPREAD_MILLISECONDS = 500;
 const MILLISECONDS_PER_SECOND = 1_000;
 const CLOSE_FIELDS: readonly string[] = ['connection', 'close'];
@@ -80,7 +80,8 @@
   ): number {
     const unit = this.random.unit();
     if (freeInMilliseconds !== undefined) {
-      return freeInMilliseconds + RETURN_SPREAD_MILLISECONDS * unit;
+      const spread = REFUSAL_RULES[reason].returnSpreadMilliseconds ?? RETURN_SPREAD_MILLISECONDS;
+      return freeInMilliseconds + spread * unit;
     }
     const jitter = 1 + RETRY_AFTER_JITTER * (2 * unit - 1);
     return REFUSAL_RULES[reason].retryAfterMilliseconds * jitter;
--- a/packages/gateway/src/callers/Refusal.ts
+++ b/packages/gateway/src/callers/Refusal.ts
@@ -26,6 +26,10 @@
   readonly isNotRun: boolean;
   /** Mean time after which the caller should retry; 0 to state none. */
   readonly retryAfterMilliseconds: number;
+  /** Callers return spread over this time after a moment that is known; 0 where that moment differs
+   * between callers already.
+   */
+  readonly returnSpreadMilliseconds?: number;
   readonly meaning: string;
 }
 
@@ -64,6 +68,7 @@
     status: 503,
     isNotRun: true,
     retryAfterMilliseconds: 500,
+    returnSpreadMilliseconds: 0,
     meaning: 'no target would answer in time',
   },
   'rate-limited': {
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -4,6 +4,8 @@
  */
 import type { Counters, Logger } from '@cactusrun/core';
 import type { CrashTracker } from '@cactusrun/requests';
+import type { AdmissionResult } from '../admission/AdmissionQuery.js';
+import type RequestAdmission from '../admission/RequestAdmission.js';
 import AttemptLog from './AttemptLog.js';
 import ConnectionFailures from './ConnectionFailures.js';
 import type { AnswerVerdict } from './judgeAnswer.js';
@@ -34,6 +36,7 @@
 export interface RequestExecutionParts extends AttemptParts {
   readonly picker: TargetPicker;
   readonly relay: PeerRelay;
+  readonly requestAdmission: RequestAdmission;
   readonly crashes: CrashTracker;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly counters: Counters;
@@ -92,6 +95,9 @@
 
   private attemptsInProgress = 0;
 
+  /** Set once the request is admitted to the targets of its service. */
+  private admitted: Extract<AdmissionResult, { kind: 'admitted' }> | undefined;
+
   private readonly connectionFailures: ConnectionFailures;
 
   /** Set after the request was sent on an idle connection that the target had dropped. */
@@ -178,16 +184,45 @@
       return this.canRelay() ? this.relay() : this.conclude('unreachable');
     }
     if (this.connectionFailures.isExhausted) return this.conclude('unreachable');
+    if (this.admitted === undefined && this.failedAttempts === 0) return this.seekAdmission();
     const picked = this.pick();
-    if (picked.kind !== 'picked') {
-      this.log.recordUnplaced(picked, remaining, this.excluded.size);
-      const freeIn = picked.kind === 'backing-off' ? picked.freeInMilliseconds : undefined;
-      return this.conclude(UNPLACED_REASONS[picked.kind] ?? this.lastReason, freeIn);
-    }
+    if (picked.kind !== 'picked') return this.concludeUnplaced(picked, remaining);
     if (this.failedAttempts > 0 && !this.withdrawRetry()) return this.conclude(this.lastReason);
     return this.send(picked.pick);
   }
 
+  /** Has the request admitted under overload; the attempt starts anew afterwards. */
+  private async seekAdmission(): Promise<Step> {
+    const { exchange, route, service, priority, workspace, deadline } = this.plan;
+    const result = await this.parts.requestAdmission.admit({
+      id: exchange.id,
+      service,
+      priority,
+      workspace: workspace?.name,
+      objectiveMilliseconds:
+        route.objectiveMilliseconds - (this.parts.clock.now() - exchange.receivedAt),
+      deadline,
+      signal: exchange.signal,
+    });
+    if (result.kind === 'refused') return this.conclude('overloaded', result.freeInMilliseconds);
+    if (result.kind === 'admitted') this.admitted = result;
+    return RETRY;
+  }
+
+  private concludeUnplaced(
+    picked: Exclude<PickResult, { kind: 'picked' }>,
+    remaining: number,
+  ): Step {
+    const { service, deadline } = this.plan;
+    this.log.recordUnplaced(picked, remaining, this.excluded.size);
+    const freeIn = picked.kind === 'backing-off' ? picked.freeInMilliseconds : undefined;
+    const returnIn =
+      picked.kind === 'full'
+        ? this.parts.requestAdmission.promiseReturn(service, deadline)
+        : freeIn;
+    return this.conclude(UNPLACED_REASONS[picked.kind] ?? this.lastReason, returnIn);
+  }
+
   /** Whether this daemon, rather than some targets, is the one that cannot be reached. */
   private lacksTargets(): boolean {
     if (this.parts.reachability.isCutOff) return true;
@@ -225,6 +260,7 @@
       objectiveMilliseconds: route.objectiveMilliseconds,
       remainingMilliseconds: deadline - this.parts.clock.now(),
       excluded: this.excluded,
+      needsFreeSlot: this.admitted?.needsFreeSlot ?? false,
     });
   }
 
@@ -297,6 +333,7 @@
   private async settle(attempt: RunningAttempt): Promise<Step> {
     const result = await attempt.result;
     this.attemptsInProgress -= 1;
+    this.parts.requestAdmission.recheck(this.plan.service);
     if (!isSuccessful(result)) this.log.recordFailure(attempt, result);
     const handle = this.resultHandlers[result.kind] as (
       result: AttemptResult,
--- a/packages/gateway/src/placement/OutstandingRequests.ts
+++ b/packages/gateway/src/placement/OutstandingRequests.ts
@@ -78,6 +78,16 @@
     return this.attributed(target) + this.unattributed(target, now);
   }
 
+  /**
+   * Requests at the target by what it reported last, without decay; undefined if it reported nothing
+   * since the given monotonic time.
+   */
+  public reportedCountAt(target: string, since: number): number | undefined {
+    const load = this.targetLoads.get(target);
+    if (load === undefined || load.recordedAt < since) return undefined;
+    return this.attributed(target) + load.unattributed;
+  }
+
   private attributed(target: string): number {
     return (this.ownCounts.get(target) ?? 0) + (this.peerTotals.get(target) ?? 0);
   }
--- a/packages/gateway/src/placement/TargetPicker.ts
+++ b/packages/gateway/src/placement/TargetPicker.ts
@@ -59,6 +59,8 @@
   readonly remainingMilliseconds: number;
   /** Targets that already received this request or could not be reached for it. */
   readonly excluded: ReadonlySet<string>;
+  /** Whether a target without a queue is preferred wherever it is; not by default. */
+  readonly needsFreeSlot?: boolean;
 }
 
 export interface Pick {
@@ -130,7 +132,7 @@
     const fitting = picks.filter(
       ({ expectedMilliseconds }) => expectedMilliseconds < query.remainingMilliseconds,
     );
-    const best = this.cheapest(fitting, query);
+    const best = this.cheapest(query.needsFreeSlot ? withFreeSlots(fitting) : fitting, query);
     if (best !== undefined) return { kind: 'picked', pick: best };
     const shortest = Math.min(...picks.map(({ expectedMilliseconds }) => expectedMilliseconds));
     return { kind: 'full', expectedMilliseconds: shortest };
@@ -237,6 +239,12 @@
   }
 }
 
+/** The picks that would not queue, or all of them if every one would. */
+function withFreeSlots(picks: readonly Pick[]): readonly Pick[] {
+  const free = picks.filter(({ target, requestsThere }) => requestsThere < target.entry.slots);
+  return free.length > 0 ? free : picks;
+}
+
 /** The targets that meet the condition, or all of them if none does. */
 function preferring(
   targets: readonly KnownTarget[],
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -1,6 +1,8 @@
 /** Constructs the state and the request path of one daemon, without its links to peers. */
 import type { CrashTracker } from '@cactusrun/requests';
 import type AttemptTracker from '../health/AttemptTracker.js';
+import RequestAdmission from '../admission/RequestAdmission.js';
+import ServiceRoom from '../admission/ServiceRoom.js';
 import CallerServer from '../callers/CallerServer.js';
 import FailureRates from '../health/FailureRates.js';
 import EntryDirectory from '../fleet/EntryDirectory.js';
@@ -153,6 +155,7 @@
     connections: sharedState.connections,
     reachability: sharedState.reachability,
     relay: sharedState.relay,
+    requestAdmission: buildRequestAdmission(options, sharedState),
     serviceTimes: sharedState.serviceTimes,
     failures: sharedState.failures,
     crashes,
@@ -165,6 +168,23 @@
   });
 }
 
+/** The admission of requests when the slots of their service are taken. */
+function buildRequestAdmission(
+  { clock, random, counters, logger, region, regions }: GatewayOptions,
+  { targets, outstanding, serviceTimes, admission, reachability }: SharedState,
+): RequestAdmission {
+  const rooms = new ServiceRoom({
+    targets,
+    outstanding,
+    serviceTimes,
+    targetAdmission: admission,
+    reachability,
+    isSameRegion: (zone) => regions[zone] === region,
+    clock,
+  });
+  return new RequestAdmission({ rooms, clock, random, counters, logger });
+}
+
 /** Which requests a server takes: those of callers, or those that peers relay. */
 interface ServerRole {
   readonly address: string;
