--- a/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
@@ -78,6 +78,17 @@
     return result.kind === 'picked' ? result.pick.target.entry.id : result.kind;
   }
 
+  describe('a request that needs a free slot', () => {
+    it('goes to one in another region rather than queue, and queues where there is none', () => {
+      addTargets(createEntry('near'), createEntry('far', 'far'));
+      outstanding.setPeerCount('peer', 'near', 2);
+      expect(pickId({ needsFreeSlot: true })).toBe('far');
+      expect(pickId()).toBe('near');
+      outstanding.setPeerCount('peer', 'far', 2);
+      expect(pickId({ needsFreeSlot: true })).toBe('near');
+    });
+  });
+
   describe('with open connections', () => {
     it('prefers a target that it is connected to among equals', () => {
       addTargets(createEntry('a'), createEntry('b'), createEntry('c'));
