--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -37,6 +37,7 @@
 import type TargetReachability from '../../reachability/TargetReachability.js';
 import createReachability, { connectAtOnce } from './createReachability.js';
 import createTargetNotices from './createTargetNotices.js';
+import createRequestAdmission from './createRequestAdmission.js';
 import createTargetEntry from './createTargetEntry.js';
 
 const KINDS: readonly RequestKind[] = ['idempotent', 'non-idempotent', 'upload', 'download'];
@@ -261,6 +262,13 @@
       reachability,
       relay: this.scriptedRelay() as unknown as PeerRelay,
       lostTargets,
+      requestAdmission: createRequestAdmission(clock, {
+        targets,
+        outstanding,
+        serviceTimes,
+        targetAdmission: notices.admission,
+        reachability,
+      }),
       crashes: new CrashTracker(clock, counters, () => {}),
       retryBudgetShares,
       workspaceField: 'X-Workspace',
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -2,6 +2,8 @@
 import type { CrashTracker } from '@cactusrun/requests';
 import AnswerSizes from '../placement/AnswerSizes.js';
 import type AttemptTracker from '../health/AttemptTracker.js';
+import RequestAdmission from '../admission/RequestAdmission.js';
+import ServiceRoom from '../admission/ServiceRoom.js';
 import CallerServer from '../callers/CallerServer.js';
 import FailureRates from '../health/FailureRates.js';
 import EntryDirectory from '../fleet/EntryDirectory.js';
@@ -171,6 +173,7 @@
     reachability: sharedState.reachability,
     relay: sharedState.relay,
     lostTargets: sharedState.lostTargets,
+    requestAdmission: buildRequestAdmission(options, sharedState),
     serviceTimes: sharedState.serviceTimes,
     failures: sharedState.failures,
     crashes,
@@ -192,6 +195,23 @@
   return new HedgePolicy({ share, occupancy, reachability, clock, counters });
 }
 
+/** The admission of requests when the slots of their service are taken. */
+function buildRequestAdmission(
+  { clock, random, counters, logger, region, regions }: GatewayOptions,
+  { targets, outstanding, serviceTimes, admission, reachability }: SharedState,
+): RequestAdmission {
+  const rooms = new ServiceRoom({
+    targets,
+    outstanding,
+    serviceTimes,
+    targetAdmission: admission,
+    reachability,
+    isSameRegion: (zone) => regions[zone] === region,
+    clock,
+  });
+  return new RequestAdmission({ rooms, clock, random, counters, logger });
+}
+
 /** Which requests a server takes: those of callers, or those that peers relay. */
 interface ServerRole {
   readonly address: string;
