Log why a request is not admitted, and test the path of a request under overload

Change: 'request-unplaced' with the reason, priority, workspace, wait and expected time. The test of the log expects one such line for each refused request beside the one summary.

--- a/packages/gateway/src/__tests__/unit/RequestAdmission.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestAdmission.test.ts
@@ -100,6 +100,7 @@
     const labels = (name: string) => counters.readings().filter((reading) => reading.name === name);
     expect(labels('admission_refused_by_workspace')).toHaveLength(101);
     expect(labels('admission_refused')).toHaveLength(9);
-    expect(lines).toEqual(['service-overloaded']);
+    expect(lines.filter((event) => event === 'request-unplaced')).toHaveLength(150);
+    expect(lines.filter((event) => event !== 'request-unplaced')).toEqual(['service-overloaded']);
   });
 });
--- a/packages/gateway/src/admission/AdmissionLog.ts
+++ b/packages/gateway/src/admission/AdmissionLog.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, Counters, Logger } from '@cactusrun/core';
 import type { ShedReason } from './AdmissionQuery.js';
-import type { WaitingRequest } from './ServiceAdmission.js';
+import type { Refusal, WaitingRequest } from './ServiceAdmission.js';
 
 const SUMMARY_INTERVAL_MILLISECONDS = 1_000;
 /** Priorities from this one on, and workspaces beyond this number, share one label. */
@@ -42,8 +42,14 @@
     counters.time('admission_wait', Math.round(clock.now() - arrivedAt));
   }
 
-  public recordRefused({ query }: WaitingRequest, reason: ShedReason, waiting: number): void {
+  /** @param waiting - number of requests that wait for the service */
+  public recordRefused(refusal: Refusal, waiting: number): void {
     const { counters } = this.parts;
+    const {
+      request: { query },
+      reason,
+    } = refusal;
+    this.logRefusal(refusal);
     const priority = priorityLabel(query.priority);
     const workspace = this.workspaceLabel(query.workspace);
     counters.add('admission_refused', `${priority}-${reason}`);
@@ -60,6 +66,21 @@
     this.parts.counters.set('admission_waiting', waiting);
   }
 
+  private logRefusal({ request, reason, expectedMilliseconds }: Refusal): void {
+    const { query, arrivedAt } = request;
+    const now = this.parts.clock.now();
+    this.parts.logger.info('request-unplaced', {
+      request: query.id,
+      service: query.service,
+      outcome: reason,
+      priority: query.priority,
+      workspace: query.workspace,
+      waitedMilliseconds: Math.round(now - arrivedAt),
+      remainingMilliseconds: Math.round(query.deadline - now),
+      expectedMilliseconds: Math.round(expectedMilliseconds),
+    });
+  }
+
   private summaryOf(service: string): Summary {
     const summary = this.summaries.get(service) ?? createSummary(Number.NEGATIVE_INFINITY);
     this.summaries.set(service, summary);
--- a/packages/gateway/src/admission/RequestAdmission.ts
+++ b/packages/gateway/src/admission/RequestAdmission.ts
@@ -108,7 +108,7 @@
       settle?.({ kind: 'admitted', needsFreeSlot: decision.needsFreeSlot });
       return;
     }
-    this.log.recordRefused(request, decision.reason, state.admission.size);
+    this.log.recordRefused(decision, state.admission.size);
     const freeInMilliseconds = this.promiseIn(state, room, request.query.deadline);
     settle?.({ kind: 'refused', freeInMilliseconds });
   }
--- a/packages/gateway/src/admission/ServiceAdmission.ts
+++ b/packages/gateway/src/admission/ServiceAdmission.ts
@@ -35,9 +35,17 @@
   readonly tag: FairTag;
 }
 
+export interface Refusal {
+  readonly kind: 'refused';
+  readonly request: WaitingRequest;
+  readonly reason: ShedReason;
+  /** Expected time until its answer. */
+  readonly expectedMilliseconds: number;
+}
+
 export type Decision =
   | { readonly kind: 'admitted'; readonly request: WaitingRequest; readonly needsFreeSlot: boolean }
-  | { readonly kind: 'refused'; readonly request: WaitingRequest; readonly reason: ShedReason };
+  | Refusal;
 
 export default class ServiceAdmission {
   private waiting: readonly WaitingRequest[] = [];
@@ -122,19 +130,22 @@
   }
 
   /** Refuses what cannot be served in time: on arrival at once, later when its wait is over. */
-  private shed(room: Room, now: number): readonly Decision[] {
+  private shed(room: Room, now: number): readonly Refusal[] {
     const rate = releaseRateOf(room);
     const leastUrgent = Math.max(...this.waiting.map(({ query }) => query.priority));
-    const reasons = this.waiting.map((request, index) => {
-      if (index >= MAXIMUM_WAITING) return 'queue-full' as const;
+    const shed = this.waiting.flatMap((request, index): Refusal[] => {
       const expected = (index + 1) / this.rateFor(request.query.priority, rate, now);
-      return shedReasonOf(request, { expected, leastUrgent, room, now });
-    });
-    const shed = this.waiting.flatMap((request, index): Decision[] => {
-      const reason = reasons[index];
-      return reason === undefined ? [] : [{ kind: 'refused', request, reason }];
+      const reason =
+        index >= MAXIMUM_WAITING
+          ? 'queue-full'
+          : shedReasonOf(request, { expected, leastUrgent, room, now });
+      const expectedMilliseconds = expected + room.serviceMilliseconds;
+      return reason === undefined
+        ? []
+        : [{ kind: 'refused', request, reason, expectedMilliseconds }];
     });
-    this.waiting = this.waiting.filter((_request, index) => reasons[index] === undefined);
+    const shedRequests = new Set(shed.map(({ request }) => request));
+    this.waiting = this.waiting.filter((request) => !shedRequests.has(request));
     shed.forEach(({ request }) => this.fairShares.release(request.tag));
     return shed;
   }
--- a/packages/gateway/src/admission/waitLimits.ts
+++ b/packages/gateway/src/admission/waitLimits.ts
@@ -1,6 +1,6 @@
 /**
- * How long a wait for room pays for a request. An answer after the latency objective is worth less,
- * and under overload each slot can give an answer that is in time instead. The limits follow from
+ * How long a wait for room pays for a request. An answer after the latency objective serves its
+ * caller less, and under overload each slot can give an answer that is in time instead. The limits follow from
  * the request and the service alone: a short request with a tight objective waits briefly, a slow
  * one with a wide objective longer.
  */
