--- a/packages/gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -4,11 +4,15 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
 import CallerServer from '../../callers/CallerServer.js';
+import HeldAnswers from '../../callers/HeldAnswers.js';
 import type { TargetAnswer } from '../../connections/TargetAttempt.js';
 import createTargetAnswer from './createTargetAnswer.js';
 
 const HOST = '127.0.8.1';
 const PORT = 18_549;
+/** Bytes of answers that the server may hold, and of one that the network does not take at once. */
+const HELD_BYTES = 40_000_000;
+const LARGE_BYTES = 30_000_000;
 const LIMITS = {
   headerBytes: 1_000,
   bodyBytes: 100,
@@ -26,11 +30,13 @@
   let exchanges: CallerExchange[];
   let handle: (received: CallerExchange) => Promise<CallerOutcome>;
   let sockets: Socket[];
+  let heldAnswers: HeldAnswers;
 
   beforeEach(async () => {
     exchanges = [];
     sockets = [];
     handle = async () => createAnswer();
+    heldAnswers = new HeldAnswers(HELD_BYTES);
     server = new CallerServer({
       isForPeers: false,
       address: `${HOST}:${PORT}`,
@@ -43,6 +49,7 @@
       random: createRandom(1),
       counters: new Counters(),
       limits: () => LIMITS,
+      heldAnswers,
       canOverlap: (received) => received.method === 'GET',
       handle: (received) => {
         exchanges.push(received);
@@ -106,6 +113,53 @@
     });
   });
 
+  describe('an answer that its caller does not read', () => {
+    beforeEach(() => {
+      handle = async () => createAnswer({ bodyStart: Buffer.alloc(LARGE_BYTES) });
+    });
+
+    function requestWithoutReading(): Promise<Socket> {
+      return new Promise((resolve) => {
+        const socket = connect(PORT, HOST);
+        sockets.push(socket);
+        socket.pause();
+        socket.on('error', () => {});
+        socket.write(request(), () => resolve(socket));
+      });
+    }
+
+    it('is held, and cut when answers to others need the room', async () => {
+      const slow = await requestWithoutReading();
+      await systemClock.sleep(100);
+      expect(heldAnswers.heldBytes).toBe(LARGE_BYTES);
+      const text = await exchange(request(), (read) => read.length > LARGE_BYTES);
+      expect(text.length).toBeGreaterThan(LARGE_BYTES);
+      let received = 0;
+      slow.on('data', (part) => {
+        received += part.length;
+      });
+      await new Promise((resolve) => {
+        slow.on('close', resolve);
+        slow.resume();
+      });
+      expect(received).toBeLessThan(LARGE_BYTES);
+    });
+
+    it('is no longer held once its caller is gone', async () => {
+      const slow = await requestWithoutReading();
+      await systemClock.sleep(100);
+      slow.destroy();
+      await systemClock.sleep(100);
+      expect(heldAnswers.heldBytes).toBe(0);
+    });
+
+    it('is no longer held once its caller has read it', async () => {
+      await exchange(request(), (read) => read.length > LARGE_BYTES);
+      await systemClock.sleep(100);
+      expect(heldAnswers.heldBytes).toBe(0);
+    });
+  });
+
   describe('an answer', () => {
     it('with a length keeps the connection open', async () => {
       const text = await exchange(request(), until('whole'));
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -12,6 +12,7 @@
 import type { ConnectionRequest } from './CallerConnection.js';
 import CallerConnection from './CallerConnection.js';
 import type { CallerExchange, CallerOutcome, Refused } from './CallerExchange.js';
+import type HeldAnswers from './HeldAnswers.js';
 import readRequestBody from './readRequestBody.js';
 import { decodeStatement, encodeRefusal, isRelayField } from '../relay/RelayField.js';
 
@@ -45,6 +46,8 @@
   /** Whether the request is idempotent, so that it may run beside others of its connection. */
   readonly canOverlap: (exchange: CallerExchange) => boolean;
   readonly handle: (exchange: CallerExchange) => Promise<CallerOutcome>;
+  /** Bounds what is held for callers that read slowly; absent, nothing does. */
+  readonly heldAnswers?: HeldAnswers;
 }
 
 /** One request on its way: the connection that it came on, and the response to write. */
@@ -229,9 +232,21 @@
     // connection is closed too, so that the caller can see this.
     if (!answer.isFramed) connection.startNoMore();
     const closes = this.closesWith(incoming) || !answer.isFramed;
+    this.holdAnswer(incoming, answer);
     AnswerWriter.writeAnswer(response, answer, closes, () => connection.cut(request));
   }
 
+  /** Counts an answer until its caller has taken it; the connection is cut if it takes too long. */
+  private holdAnswer({ response }: Incoming, { bodyStart }: TargetAnswer): void {
+    const { heldAnswers, counters } = this.options;
+    if (heldAnswers === undefined) return;
+    const cut = () => {
+      counters.add('callers', 'read-too-slowly');
+      response.req.socket.resetAndDestroy();
+    };
+    response.once('close', heldAnswers.hold({ bytes: bodyStart.length, cut }));
+  }
+
   private writeRefusal(incoming: Incoming, refused: Refused): void {
     if (incoming.request.signal.aborted) return;
     const { counters, isForPeers } = this.options;
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -34,6 +34,8 @@
   readonly floorShare: number;
   /** Hedged requests that operators accept per request of a service, from 0 (none) to 1. */
   readonly hedgeShare: number;
+  /** Bytes of answers that may be held for callers that have not read them. */
+  readonly heldAnswerBytes: number;
   readonly stopTimes: StopTimes;
   readonly targetFields: TargetFieldNames;
   readonly callerFields: CallerFieldNames;
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -7,6 +7,7 @@
 import FleetMembers from '../fleet/FleetMembers.js';
 import type { GatewayOptions } from './GatewayOptions.js';
 import { findRoute, isRepeatable } from '../state/GatewayConfiguration.js';
+import HeldAnswers from '../callers/HeldAnswers.js';
 import HedgePolicy from '../hedging/HedgePolicy.js';
 import SlotOccupancy from '../hedging/SlotOccupancy.js';
 import GatewayState from '../state/GatewayState.js';
@@ -51,6 +52,8 @@
   readonly members: FleetMembers;
   readonly directory: EntryDirectory;
   readonly state: GatewayState;
+  /** Answers that callers and peers have not read yet. */
+  readonly heldAnswers: HeldAnswers;
 }
 
 export function buildSharedState(
@@ -126,6 +129,7 @@
     members,
     directory,
     state,
+    heldAnswers: new HeldAnswers(options.heldAnswerBytes),
   };
 }
 
@@ -185,7 +189,7 @@
 /** Constructs a server of requests that the proxy handles. */
 export function buildServer(
   options: GatewayOptions,
-  { state }: SharedState,
+  { state, heldAnswers }: SharedState,
   proxy: RequestProxy,
   role: ServerRole,
 ): CallerServer {
@@ -195,6 +199,7 @@
     clock: options.clock,
     random: options.random,
     counters: options.counters,
+    heldAnswers,
     limits: () => state.configuration?.limits,
     canOverlap: ({ host, path }) => {
       if (state.configuration === undefined) return false;
