--- a/packages/gateway/src/execution/AttemptLog.ts
+++ b/packages/gateway/src/execution/AttemptLog.ts
@@ -1,7 +1,7 @@
 /** Logs why a request was not placed, and each attempt of it that failed. */
 import type { Clock, Counters, Logger } from '@cactusrun/core';
 import type { AttemptResult } from '../connections/TargetAttempt.js';
-import type { PickResult } from '../placement/TargetPicker.js';
+import type { Pick, PickResult } from '../placement/TargetPicker.js';
 import type { RunningAttempt } from './RunningAttempt.js';
 
 export interface AttemptLogParts {
@@ -40,6 +40,17 @@
     });
   }
 
+  /** Records that a slow request goes to a second target, so long after it went to the first one. */
+  public recordHedge({ target, expectedMilliseconds }: Pick, afterMilliseconds: number): void {
+    this.parts.logger.info('request-hedged', {
+      request: this.request,
+      target: target.entry.id,
+      service: this.service,
+      afterMilliseconds: Math.round(afterMilliseconds),
+      expectedMilliseconds: Math.round(expectedMilliseconds),
+    });
+  }
+
   /** Records an attempt that failed, with what was believed of its target. */
   public recordFailure(attempt: RunningAttempt, result: AttemptResult): void {
     const { clock, counters, logger } = this.parts;
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -307,7 +307,7 @@
 
   /** Hedges a slow attempt within the share of extra work that operators accept. */
   private hedgeSlow(attempt: HedgedAttempt): RunningAttempt | undefined {
-    const { hedging, counters } = this.parts;
+    const { hedging, counters, clock } = this.parts;
     const pick = hedging.choose(attempt, () => this.pick(), this.plan.deadline);
     if (pick === undefined) return undefined;
     if (!this.withdrawRetry()) {
@@ -317,6 +317,7 @@
     counters.add('retries', 'hedged');
     const second = this.start(pick);
     hedging.recordHedge(attempt, second.result);
+    this.log.recordHedge(pick, clock.now() - attempt.startedAt);
     return second;
   }
 
