Entries of a zone by capacity and told load

Cause: a zone had three entries whatever its hosts; callers spread evenly, so that a small host beside two large ones got as many callers as they. Change: countEntries takes the large hosts alone where there are two, and adds hosts until none gets more than its share of the load that members tell in heartbeats (an optional last field, ignored by older daemons and 0 where absent). CallerLoad measures requests and bytes; HeldLoad lets go late.

--- a/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerCodec.test.ts
@@ -70,6 +70,20 @@
     });
   });
 
+  // Without it, daemons of one fleet would choose their entries by different loads.
+  describe('a heartbeat that tells a load', () => {
+    const beats = MESSAGES.flatMap((message) => (message.kind === 'beat' ? [message] : []));
+
+    it('keeps the load, and has none if the sender told none', () => {
+      expect(beats.length).toBeGreaterThan(0);
+      beats.forEach((beat) => {
+        const told = { ...beat, callerLoad: 0.25 };
+        expect(decodePeerMessage(encodePeerMessage(told))).toEqual(told);
+        expect(decodePeerMessage(encodePeerMessage(beat))).not.toHaveProperty('callerLoad');
+      });
+    });
+  });
+
   describe('bytes of another protocol', () => {
     ['', 'x', '{}', '{"kind":"other"}', 'null', '[', '7'].forEach((text) => {
       it(`rejects ${JSON.stringify(text)}`, () => {
--- a/packages/gateway/src/connections/TargetAttempt.ts
+++ b/packages/gateway/src/connections/TargetAttempt.ts
@@ -39,6 +39,11 @@
   readonly isSigned: boolean;
 }
 
+/** Length of the body: as stated, or of what has arrived. */
+export function lengthOf({ bodyBytes, bodyStart }: TargetAnswer): number {
+  return bodyBytes ?? bodyStart.length;
+}
+
 export type AttemptResult =
   | { readonly kind: 'answered'; readonly answer: TargetAnswer }
   /** The target reported that it did not run the request. */
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -18,6 +18,7 @@
 import type RetryBudgetShares from './RetryBudgetShares.js';
 import type { AttemptParts, RunningAttempt } from './RunningAttempt.js';
 import { isSuccessful, startAttempt } from './RunningAttempt.js';
+import { lengthOf } from '../connections/TargetAttempt.js';
 import type {
   AttemptResult,
   HeaderFields,
@@ -325,7 +326,7 @@
     const { exchange, fingerprint, route } = this.plan;
     this.parts.crashes.recordAnswer(fingerprint);
     if (answer.isSigned) {
-      this.parts.answerSizes?.record(route.name, answer.bodyBytes ?? answer.bodyStart.length);
+      this.parts.answerSizes?.record(route.name, lengthOf(answer));
     }
     const verdict = judgeAnswer(answer, this.isIdempotent() && exchange.isFollowed());
     return this.answerHandlers[verdict](answer);
--- a/packages/gateway/src/fleet/EntryDirectory.ts
+++ b/packages/gateway/src/fleet/EntryDirectory.ts
@@ -2,19 +2,17 @@
  * Selects the entries of each zone, that is, the daemons that its callers are directed to. Every
  * daemon selects the same few: fewer entries need fewer connections to targets and fewer messages,
  * and each of them observes more requests per target. Small hosts are entries only where there are
- * no others.
+ * too few others; how many entries there are follows from capacities and the load that members tell.
  */
 import { createHash } from 'node:crypto';
 import type { Clock } from '@cactusrun/core';
+import countEntries, { MINIMUM_ENTRIES } from './countEntries.js';
 import type FleetMembers from './FleetMembers.js';
+import HeldLoad from './HeldLoad.js';
 import type { PeerDescription } from './PeerMessage.js';
 
-/** Number of daemons over which the callers of one zone are spread. */
-const ENTRIES_PER_ZONE = 3;
 /** Daemons of a zone that take the place of entries which fail; their failure must be known early. */
 const STANDBYS_PER_ZONE = 3;
-/** With fewer entries than this in the zone, entries of the region are added. */
-const MINIMUM_ZONE_ENTRIES = 2;
 /** Age at which the list of entries is recomputed. */
 const REFRESH_MILLISECONDS = 200;
 
@@ -32,10 +30,16 @@
 
   private refreshedAt = Number.NEGATIVE_INFINITY;
 
+  private readonly loads: HeldLoad;
+
+  /** @param ownLoad - load of callers at this daemon, in the unit of its capacity */
   constructor(
     private readonly members: FleetMembers,
     private readonly clock: Clock,
-  ) {}
+    private readonly ownLoad: () => number = () => 0,
+  ) {
+    this.loads = new HeldLoad(clock);
+  }
 
   /** Peer addresses of the other daemons in the region that serve callers or are about to. */
   public entryAddresses(): readonly string[] {
@@ -70,9 +74,10 @@
     const [self, ...others] = this.members.regionMembers();
     const ready = [self!, ...others].filter(({ state }) => state !== 'starting');
     const zones = [...new Set(ready.map(({ zone }) => zone))];
+    this.recordLoads(ready);
     const entries = zones.flatMap((zone) => this.entriesOf(zone, ready));
     const near = this.rankMembers(ready.filter(({ zone }) => zone === self!.zone));
-    const critical = near.slice(0, ENTRIES_PER_ZONE + STANDBYS_PER_ZONE);
+    const critical = near.slice(0, this.countFor(self!.zone, near) + STANDBYS_PER_ZONE);
     const active = others.filter(({ name }) => this.members.isActive(name));
     const serving = [...entries, ...active].map(({ address }) => address);
     this.entries = [...new Set(serving)].filter((address) => address !== self?.address);
@@ -85,6 +90,17 @@
     this.refreshedAt = now;
   }
 
+  /** Records the load of each zone: the sum of what its daemons tell. */
+  private recordLoads(daemons: readonly PeerDescription[]): void {
+    const own = this.members.regionMembers()[0]?.name;
+    const sums = new Map<string, number>();
+    daemons.forEach(({ name, zone }) => {
+      const load = name === own ? this.ownLoad() : (this.members.get(name)?.callerLoad ?? 0);
+      sums.set(zone, (sums.get(zone) ?? 0) + load);
+    });
+    sums.forEach((load, zone) => this.loads.record(zone, load));
+  }
+
   /** Caller addresses of the entries for a zone. */
   public addressesFor(zone: string): readonly string[] {
     return [...new Set(this.servingFor(zone).map(({ callerAddress }) => callerAddress))];
@@ -103,11 +119,12 @@
    * out, unless there are no others.
    */
   private servingFor(zone: string): readonly PeerDescription[] {
+    this.refresh();
     const ready = this.members.regionMembers().filter(({ state }) => state === 'ready');
     const reaching = ready.filter(({ isCutOff }) => isCutOff !== true);
     const usable = reaching.length > 0 ? reaching : ready;
     const zoneEntries = this.entriesOf(zone, usable);
-    if (zoneEntries.length >= MINIMUM_ZONE_ENTRIES) return zoneEntries;
+    if (zoneEntries.length >= MINIMUM_ENTRIES) return zoneEntries;
     const zones = [...new Set(usable.map((member) => member.zone))];
     return [
       ...new Set([...zoneEntries, ...zones.flatMap((other) => this.entriesOf(other, usable))]),
@@ -115,8 +132,14 @@
   }
 
   private entriesOf(zone: string, members: readonly PeerDescription[]): readonly PeerDescription[] {
-    const near = members.filter((member) => member.zone === zone);
-    return this.rankMembers(near).slice(0, ENTRIES_PER_ZONE);
+    const near = this.rankMembers(members.filter((member) => member.zone === zone));
+    return near.slice(0, this.countFor(zone, near));
+  }
+
+  /** @param ranked - the daemons of the zone in the order in which they become entries */
+  private countFor(zone: string, ranked: readonly PeerDescription[]): number {
+    const capacities = ranked.map(({ capacity }) => capacity);
+    return countEntries(capacities, this.loads.of(zone));
   }
 
   /**
--- a/packages/gateway/src/fleet/FleetMembers.ts
+++ b/packages/gateway/src/fleet/FleetMembers.ts
@@ -30,6 +30,8 @@
   readonly lastSeenAt: number;
   /** Time without a message after which the member is removed. */
   readonly timeoutMilliseconds: number;
+  /** Load of callers there, in the unit of its capacity; undefined if it does not tell. */
+  readonly callerLoad?: number;
 }
 
 /** The part of a heartbeat that describes its sender. */
@@ -41,6 +43,8 @@
   readonly isCutOff: boolean;
   /** Time until the sender's next heartbeat. */
   readonly pauseMilliseconds: number;
+  /** Load of callers at the sender, in the unit of its capacity. */
+  readonly callerLoad?: number;
 }
 
 export default class FleetMembers {
@@ -86,6 +90,7 @@
     }
     this.lostAt.delete(description.name);
     this.members.set(description.name, {
+      ...(isNew ? {} : current),
       description,
       lastSeenAt: this.clock.now(),
       timeoutMilliseconds:
@@ -102,13 +107,14 @@
 
   /** Applies a heartbeat; returns whether the sender's description here is current. */
   public applyHeartbeat(heartbeat: MemberHeartbeat): boolean {
-    const { sender: name, incarnation, state, isCutOff, pauseMilliseconds } = heartbeat;
+    const { sender: name, incarnation, state, isCutOff, pauseMilliseconds, callerLoad } = heartbeat;
     const current = this.members.get(name);
     if (current === undefined || current.description.incarnation !== incarnation) return false;
     this.members.set(name, {
       ...current,
       lastSeenAt: this.clock.now(),
       timeoutMilliseconds: pauseMilliseconds * MISSED_HEARTBEATS,
+      ...(callerLoad === undefined ? {} : { callerLoad }),
     });
     const isKnownCutOff = current.description.isCutOff === true;
     return current.description.state === state && isKnownCutOff === isCutOff;
--- a/packages/gateway/src/fleet/LocalDaemon.ts
+++ b/packages/gateway/src/fleet/LocalDaemon.ts
@@ -5,6 +5,9 @@
 import type { PeerSender } from './PeerLink.js';
 import type { DaemonState, PeerDescription, PeerMessage } from './PeerMessage.js';
 
+/** Steps of the told load in a unit of capacity. */
+const LOAD_PRECISION = 100;
+
 export default class LocalDaemon {
   private daemonState: DaemonState = 'starting';
 
@@ -55,6 +58,7 @@
       unhealthy: isEntry ? sharedState.targets.unhealthyTargets() : [],
       rateLimits: isEntry ? sharedState.rateLimits.reports() : [],
       leavingTargets: isEntry ? sharedState.leavingTargets.reports() : [],
+      callerLoad: Math.round(sharedState.callerLoad.current() * LOAD_PRECISION) / LOAD_PRECISION,
     };
   }
 
--- a/packages/gateway/src/fleet/PeerCodec.ts
+++ b/packages/gateway/src/fleet/PeerCodec.ts
@@ -35,6 +35,7 @@
   RateLimitRow[]?,
   number?,
   LeavingRow[]?,
+  number?,
 ];
 
 const KINDS: readonly string[] = [
@@ -154,16 +155,21 @@
     ]),
     heartbeat.isCutOff ? 1 : 0,
     heartbeat.leavingTargets.map(({ target, bornAt }): LeavingRow => [target, bornAt]),
+    ...presentNumber(heartbeat.callerLoad),
   ];
 }
 
+function presentNumber(value: number | undefined): [number?] {
+  return value === undefined ? [] : [value];
+}
+
 /** An unlimited rate is -1 on the wire. */
 function encodeRate(rate: RequestRate): number {
   return rate === 'unlimited' ? NONE : rate;
 }
 
 function encodeOptionalRate(rate: RequestRate | undefined): [number?] {
-  return rate === undefined ? [] : [encodeRate(rate)];
+  return presentNumber(rate === undefined ? undefined : encodeRate(rate));
 }
 
 function decodeRate(rate: number): RequestRate {
@@ -173,7 +179,7 @@
 function unpackHeartbeat(fields: HeartbeatFields): HeartbeatMessage | undefined {
   const [, sender, incarnation, stateNumber, pauseMilliseconds, ...rest] = fields;
   const [configuration, targets, ageMilliseconds, outstanding, rows, ...later] = rest;
-  const [limitRows = [], cutOff = 0, leavingRows = []] = later;
+  const [limitRows = [], cutOff = 0, leavingRows = [], callerLoad] = later;
   const state = STATES[stateNumber];
   if (state === undefined) return undefined;
   return {
@@ -192,5 +198,6 @@
       ageMilliseconds: age,
     })),
     leavingTargets: leavingRows.map(([target, bornAt]) => ({ target, bornAt })),
+    ...(typeof callerLoad === 'number' ? { callerLoad } : {}),
   };
 }
--- a/packages/gateway/src/fleet/PeerMessage.ts
+++ b/packages/gateway/src/fleet/PeerMessage.ts
@@ -113,6 +113,8 @@
       readonly rateLimits: readonly RateLimitReport[];
       /** Targets that stated that they are leaving; filled like `unhealthy`. */
       readonly leavingTargets: readonly LeavingTarget[];
+      /** Load of callers at the sender, in the unit of its capacity; absent from older daemons. */
+      readonly callerLoad?: number;
     }
   /** Daemons that the sender knows, so that all daemons discover one another. */
   | { readonly kind: 'peers'; readonly sender: string; readonly peers: readonly PeerAddress[] }
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -4,6 +4,7 @@
 import type AttemptTracker from '../health/AttemptTracker.js';
 import CallerServer from '../callers/CallerServer.js';
 import FailureRates from '../health/FailureRates.js';
+import CallerLoad from '../fleet/CallerLoad.js';
 import EntryDirectory from '../fleet/EntryDirectory.js';
 import FleetMembers from '../fleet/FleetMembers.js';
 import type { GatewayOptions } from './GatewayOptions.js';
@@ -11,6 +12,7 @@
 import GatewayState from '../state/GatewayState.js';
 import IdleReuse from '../connections/IdleReuse.js';
 import OutstandingRequests from '../placement/OutstandingRequests.js';
+import { lengthOf } from '../connections/TargetAttempt.js';
 import type { OpenConnection } from '../connections/openConnection.js';
 import { openConnection } from '../connections/openConnection.js';
 import type { PeerDescription } from '../fleet/PeerMessage.js';
@@ -49,6 +51,7 @@
   readonly admission: TargetAdmission;
   readonly members: FleetMembers;
   readonly directory: EntryDirectory;
+  readonly callerLoad: CallerLoad;
   readonly state: GatewayState;
 }
 
@@ -66,7 +69,8 @@
   const members = new FleetMembers(describeSelf, clock, logger, (name) =>
     removalListeners.forEach((listener) => listener(name)),
   );
-  const directory = new EntryDirectory(members, clock);
+  const callerLoad = new CallerLoad(clock);
+  const directory = new EntryDirectory(members, clock, () => callerLoad.current());
   const reachability = new TargetReachability({
     targets,
     openConnection: options.openTargetConnection,
@@ -124,6 +128,7 @@
     admission,
     members,
     directory,
+    callerLoad,
     state,
   };
 }
@@ -176,7 +181,7 @@
 /** Constructs a server of requests that the proxy handles. */
 export function buildServer(
   options: GatewayOptions,
-  { state }: SharedState,
+  { state, callerLoad }: SharedState,
   proxy: RequestProxy,
   role: ServerRole,
 ): CallerServer {
@@ -195,7 +200,10 @@
     handle: async (exchange) => {
       const { configuration } = state;
       if (configuration !== undefined) server.applyLimits(configuration.limits);
-      return proxy.handle(exchange);
+      callerLoad.recordRequest(exchange.body.length);
+      const outcome = await proxy.handle(exchange);
+      if (outcome.kind === 'answered') callerLoad.recordAnswer(lengthOf(outcome.answer));
+      return outcome;
     },
   });
   return server;
