--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -6,6 +6,7 @@
 import ServiceRoom from '../admission/ServiceRoom.js';
 import CallerServer from '../callers/CallerServer.js';
 import FailureRates from '../health/FailureRates.js';
+import CallerLoad from '../fleet/CallerLoad.js';
 import EntryDirectory from '../fleet/EntryDirectory.js';
 import FleetMembers from '../fleet/FleetMembers.js';
 import type { GatewayOptions } from './GatewayOptions.js';
@@ -16,6 +17,7 @@
 import GatewayState from '../state/GatewayState.js';
 import IdleReuse from '../connections/IdleReuse.js';
 import OutstandingRequests from '../placement/OutstandingRequests.js';
+import { lengthOf } from '../connections/TargetAttempt.js';
 import type { OpenConnection } from '../connections/openConnection.js';
 import { openConnection } from '../connections/openConnection.js';
 import type { PeerDescription } from '../fleet/PeerMessage.js';
@@ -57,6 +59,7 @@
   readonly admission: TargetAdmission;
   readonly members: FleetMembers;
   readonly directory: EntryDirectory;
+  readonly callerLoad: CallerLoad;
   readonly state: GatewayState;
   /** Answers that callers and peers have not read yet. */
   readonly heldAnswers: HeldAnswers;
@@ -76,7 +79,8 @@
   const members = new FleetMembers(describeSelf, clock, logger, (name) =>
     removalListeners.forEach((listener) => listener(name)),
   );
-  const directory = new EntryDirectory(members, clock);
+  const callerLoad = new CallerLoad(clock);
+  const directory = new EntryDirectory(members, clock, () => callerLoad.current());
   const reachability = new TargetReachability({
     targets,
     openConnection: options.openTargetConnection,
@@ -143,6 +147,7 @@
     admission,
     members,
     directory,
+    callerLoad,
     state,
     heldAnswers: new HeldAnswers(options.heldAnswerBytes),
   };
@@ -225,7 +230,7 @@
 /** Constructs a server of requests that the proxy handles. */
 export function buildServer(
   options: GatewayOptions,
-  { state, heldAnswers }: SharedState,
+  { state, heldAnswers, callerLoad }: SharedState,
   proxy: RequestProxy,
   role: ServerRole,
 ): CallerServer {
@@ -245,7 +250,10 @@
     handle: async (exchange) => {
       const { configuration } = state;
       if (configuration !== undefined) server.applyLimits(configuration.limits);
-      return proxy.handle(exchange);
+      callerLoad.recordRequest(exchange.body.length);
+      const outcome = await proxy.handle(exchange);
+      if (outcome.kind === 'answered') callerLoad.recordAnswer(lengthOf(outcome.answer));
+      return outcome;
     },
   });
   return server;
