Hold the quotas of workspaces over the whole fleet

Cause: every daemon would have had a quota of its own; a relayed request raised the retry budget twice.

--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -29,6 +29,7 @@
 import createPeerDescription from './createPeerDescription.js';
 import type PeerRelay from '../../relay/PeerRelay.js';
 import type { RelayedRequest, RelayResult } from '../../relay/PeerRelay.js';
+import type WorkspaceKeys from '../../workspaces/WorkspaceKeys.js';
 import type TargetReachability from '../../reachability/TargetReachability.js';
 import createReachability, { connectAtOnce } from './createReachability.js';
 import createTargetNotices from './createTargetNotices.js';
@@ -87,6 +88,7 @@
 interface ProxyFixtureOptions {
   /** Whether the configuration and the registry are known from the start. */
   readonly hasState: boolean;
+  readonly workspaces?: WorkspaceKeys;
 }
 
 export function describeOutcome(outcome: CallerOutcome): string {
@@ -115,6 +117,8 @@
 
   public readonly reachability: TargetReachability;
 
+  public readonly retryBudgetShares = new RetryBudgetShares(BUDGET, () => 1, this.clock);
+
   private readonly counters = new Counters();
 
   private readonly targets: TargetTable;
@@ -123,7 +127,8 @@
 
   private readonly proxy: RequestProxy;
 
-  constructor({ hasState }: ProxyFixtureOptions = { hasState: true }) {
+  constructor(private readonly options: ProxyFixtureOptions = { hasState: true }) {
+    const { hasState } = options;
     this.targets = new TargetTable(this.clock, DEFAULT_HEALTH_MODEL_PARAMETERS);
     this.state = this.createState();
     if (hasState) this.provideState();
@@ -174,7 +179,7 @@
       version: 1,
       limits: LIMITS,
       routes: new Map([['h', KINDS.map(createRoute)]]),
-      workspaces: undefined,
+      workspaces: this.options.workspaces,
     };
     return new GatewayState(
       () => configuration,
@@ -186,12 +191,11 @@
   }
 
   private createProxy(): RequestProxy {
-    const { clock, targets, counters, reachability, state } = this;
+    const { clock, targets, counters, reachability, state, retryBudgetShares } = this;
     const outstanding = new OutstandingRequests();
     const serviceTimes = new ServiceTimes();
     const failures = new FailureRates(clock);
     const random = createRandom(3);
-    const retryBudgetShares = new RetryBudgetShares(BUDGET, () => 1, clock);
     const notices = createTargetNotices(clock);
     const attemptTracker = new AttemptTracker({
       selfName: 'm',
@@ -221,6 +225,7 @@
     });
     return new RequestProxy({
       state,
+      quotas: notices.quotas,
       picker,
       failures,
       attemptTracker,
--- a/packages/gateway/src/__tests__/unit/createTargetNotices.ts
+++ b/packages/gateway/src/__tests__/unit/createTargetNotices.ts
@@ -5,6 +5,8 @@
 import TargetAdmission from '../../limits/TargetAdmission.js';
 import type TargetRateLimits from '../../limits/TargetRateLimits.js';
 import TargetBackoffs from '../../limits/TargetBackoffs.js';
+import type WorkspaceQuotas from '../../limits/WorkspaceQuotas.js';
+import createQuotas from './createQuotas.js';
 import createRateLimits from './createRateLimits.js';
 
 export interface TargetNotices {
@@ -12,6 +14,7 @@
   readonly backoffs: TargetBackoffs;
   readonly rateLimits: TargetRateLimits;
   readonly admission: TargetAdmission;
+  readonly quotas: WorkspaceQuotas;
 }
 
 export default function createTargetNotices(clock: Clock): TargetNotices {
@@ -20,5 +23,5 @@
   const backoffs = new TargetBackoffs(parts);
   const rateLimits = createRateLimits(clock);
   const admission = new TargetAdmission({ leavingTargets, backoffs, rateLimits });
-  return { leavingTargets, backoffs, rateLimits, admission };
+  return { leavingTargets, backoffs, rateLimits, admission, quotas: createQuotas(clock) };
 }
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -92,6 +92,12 @@
 
   private attemptsInProgress = 0;
 
+  /** Whether the request is counted against the quota of its workspace. */
+  private isQuotaCounted: boolean;
+
+  /** Whether the retry budget was raised for the request. */
+  private isBudgetCounted: boolean;
+
   private readonly connectionFailures: ConnectionFailures;
 
   /** Set after the request was sent on an idle connection that the target had dropped. */
@@ -161,7 +167,10 @@
   ) {
     this.log = new AttemptLog(parts, plan.exchange.id, plan.service);
     this.connectionFailures = new ConnectionFailures(parts.reachability, parts.clock);
-    this.failedAttempts = plan.exchange.relayed?.attemptsMade ?? 0;
+    const { relayed } = plan.exchange;
+    this.failedAttempts = relayed?.attemptsMade ?? 0;
+    this.isQuotaCounted = relayed?.isQuotaCounted === true;
+    this.isBudgetCounted = relayed?.isBudgetCounted === true || this.failedAttempts > 0;
   }
 
   /** Attempts the request until there is an outcome for its caller. */
@@ -206,11 +215,18 @@
   /** Has a peer execute the request, which counts its retries there. */
   private async relay(): Promise<Step> {
     const { exchange, route, deadline, version } = this.plan;
+    this.countQuota();
+    const { isQuotaCounted, isBudgetCounted } = this;
     const result = await this.parts.relay.send({
       exchange,
       kind: sendKindOf(route),
       deadline,
-      statement: { attemptsMade: this.failedAttempts, configurationVersion: version },
+      statement: {
+        attemptsMade: this.failedAttempts,
+        configurationVersion: version,
+        isQuotaCounted,
+        isBudgetCounted,
+      },
     });
     const handle = this.relayHandlers[result.kind] as (result: RelayResult) => Step;
     return handle(result);
@@ -255,6 +271,8 @@
   private start(pick: Pick): RunningAttempt {
     const { exchange, fields, route, service, deadline } = this.plan;
     this.excluded.add(pick.target.entry.id);
+    this.countQuota();
+    this.countBudget();
     const isRetry = this.failedAttempts + this.attemptsInProgress > 0;
     this.attemptsInProgress += 1;
     const request = {
@@ -271,6 +289,21 @@
     return startAttempt(this.parts, pick, service, request, exchange.signal);
   }
 
+  /** Counts the request against the quota of its workspace, once. */
+  private countQuota(): void {
+    const { workspace } = this.plan;
+    if (workspace === undefined || this.isQuotaCounted) return;
+    this.isQuotaCounted = true;
+    this.parts.attemptTracker.recordRequest(workspace);
+  }
+
+  /** Raises the retry budget for the first attempt of the request, once. */
+  private countBudget(): void {
+    if (this.isBudgetCounted) return;
+    this.isBudgetCounted = true;
+    this.parts.retryBudgetShares.shareOf(this.plan.service).deposit();
+  }
+
   private isIdempotent(): boolean {
     return isRepeatable(this.plan.route.kind);
   }
--- a/packages/gateway/src/execution/RequestProxy.ts
+++ b/packages/gateway/src/execution/RequestProxy.ts
@@ -11,6 +11,8 @@
 import type { RequestExecutionParts } from './RequestExecution.js';
 import RequestExecution from './RequestExecution.js';
 import authorizeCaller from '../workspaces/authorizeCaller.js';
+import type WorkspaceQuotas from '../limits/WorkspaceQuotas.js';
+import type { Workspace } from '../workspaces/Workspace.js';
 import { SERVER_ERROR_STATUS } from './judgeAnswer.js';
 
 /** The caller is answered this long before its deadline. */
@@ -27,6 +29,7 @@
   readonly state: GatewayState;
   readonly random: Random;
   readonly failures: FailureRates;
+  readonly quotas: Pick<WorkspaceQuotas, 'check'>;
   /** Name of the field that tells targets the workspace of the caller. */
   readonly workspaceField: string;
 }
@@ -37,7 +40,7 @@
   constructor(private readonly parts: RequestProxyParts) {}
 
   public async handle(exchange: CallerExchange): Promise<CallerOutcome> {
-    const { state, random, crashes, retryBudgetShares } = this.parts;
+    const { state, random, crashes } = this.parts;
     if (!state.isComplete) await this.awaitState(exchange);
     const { configuration } = state;
     if (configuration === undefined || !state.isComplete) {
@@ -58,10 +61,10 @@
     });
     if (authorization.kind === 'unknown-key') return this.refuseUnrouted(exchange, 'unknown-key');
     const { workspace, fields } = authorization;
+    const overQuota = this.checkQuota(exchange, workspace);
+    if (overQuota !== undefined) return overQuota;
     const fingerprint = fingerprintOf(exchange);
     const deadline = deadlineOf(exchange, route);
-    const isFirstAttempt = (exchange.relayed?.attemptsMade ?? 0) === 0;
-    if (isFirstAttempt) retryBudgetShares.shareOf(service).deposit();
     const outcome = crashes.isHeld(fingerprint)
       ? refuse('held-back')
       : await new RequestExecution(this.parts, {
@@ -79,6 +82,18 @@
     return outcome;
   }
 
+  /** The refusal of a request over the quota of its workspace; undefined within it. */
+  private checkQuota(
+    exchange: CallerExchange,
+    workspace: Workspace | undefined,
+  ): CallerOutcome | undefined {
+    if (workspace === undefined || exchange.relayed?.isQuotaCounted === true) return undefined;
+    const verdict = this.parts.quotas.check(workspace);
+    if (verdict.kind === 'free') return undefined;
+    this.parts.counters.add('outcomes', verdict.kind);
+    return refuse(verdict.kind, verdict.freeInMilliseconds);
+  }
+
   /** Waits briefly for the configuration and the registry, which arrive soon after the start. */
   private async awaitState(exchange: CallerExchange): Promise<void> {
     const { state, clock, counters } = this.parts;
--- a/packages/gateway/src/fleet/PeerCodec.ts
+++ b/packages/gateway/src/fleet/PeerCodec.ts
@@ -10,13 +10,21 @@
   DaemonState,
   PeerMessage,
   PeerMessageKind,
+  UseReport,
+  WorkspaceUse,
 } from './PeerMessage.js';
 
 type ReportsMessage = Extract<PeerMessage, { kind: 'calls' }>;
 type HeartbeatMessage = Extract<PeerMessage, { kind: 'beat' }>;
 /** The last field is present only in reports of a rate limit. */
 type ReportRow = [string, number, number, number, number, number?];
-type ReportFields = ['calls', string, ReportRow[]];
+/** Workspace, count and recent. */
+type UseRow = [string, number, number];
+/** The last field is present only in reports of use: incarnation and rows. */
+type ReportFields = ['calls', string, ReportRow[], [number, UseRow[]]?];
+type RegionUseMessage = Extract<PeerMessage, { kind: 'region-use' }>;
+type RegionUseFields = Omit<RegionUseMessage, 'uses'> & { readonly uses: UseRow[] };
+type PlainMessage = Exclude<PeerMessage, ReportsMessage | HeartbeatMessage | RegionUseMessage>;
 type UnhealthyRow = [string, number];
 type RateLimitRow = [string, number, number];
 /** Target and the start of its process. */
@@ -42,6 +50,7 @@
   'beat',
   'peers',
   'calls',
+  'region-use',
   'news',
   'leaving-targets',
   'crash',
@@ -64,6 +73,7 @@
 export function encodePeerMessage(message: PeerMessage): Buffer {
   if (message.kind === 'calls') return toBytes(packReports(message));
   if (message.kind === 'beat') return toBytes(packHeartbeat(message));
+  if (message.kind === 'region-use') return toBytes(packRegionUse(message));
   return toBytes(message);
 }
 
@@ -71,12 +81,13 @@
 export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
   try {
     const value = JSON.parse(bytes.toString('utf8')) as
-      ReportFields | HeartbeatFields | PeerMessage;
+      ReportFields | HeartbeatFields | RegionUseFields | PlainMessage;
     if (Array.isArray(value)) {
       return value[0] === 'calls'
         ? unpackReports(value)
         : unpackHeartbeat(value as HeartbeatFields);
     }
+    if (value.kind === 'region-use') return { ...value, uses: unpackUses(value.uses) };
     return KINDS.includes(value.kind) ? value : undefined;
   } catch {
     return undefined;
@@ -87,7 +98,7 @@
   return Buffer.from(JSON.stringify(value));
 }
 
-function packReports({ sender, reports }: ReportsMessage): ReportFields {
+function packReports({ sender, reports, use }: ReportsMessage): ReportFields {
   const rows = reports.map(
     ({
       target,
@@ -106,7 +117,22 @@
       ...encodeOptionalRate(rateLimit),
     ],
   );
-  return ['calls', sender, rows];
+  return use === undefined
+    ? ['calls', sender, rows]
+    : ['calls', sender, rows, [use.incarnation, packUses(use.uses)]];
+}
+
+function packUses(uses: readonly WorkspaceUse[]): UseRow[] {
+  return uses.map(({ workspace, count, recent }) => [workspace, count, recent]);
+}
+
+function unpackUses(rows: readonly UseRow[]): readonly WorkspaceUse[] {
+  return rows.map(([workspace, count, recent]) => ({ workspace, count, recent }));
+}
+
+/** An object rather than a list, which builds that do not know the kind take for a heartbeat. */
+function packRegionUse(message: RegionUseMessage): RegionUseFields {
+  return { ...message, uses: packUses(message.uses) };
 }
 
 /** Attempt kinds are numbered downwards from -1, outcomes upwards from 1. */
@@ -115,7 +141,7 @@
   return outcome === undefined ? 0 : OUTCOMES.indexOf(outcome) + 1;
 }
 
-function unpackReports([, sender, rows]: ReportFields): ReportsMessage {
+function unpackReports([, sender, rows, useFields]: ReportFields): ReportsMessage {
   const reports = rows.map(
     ([target, outstanding, number, reportedRequests, elapsedMilliseconds, rate]): AttemptReport => {
       const outcome = OUTCOMES[number - 1];
@@ -131,7 +157,10 @@
       };
     },
   );
-  return { kind: 'calls', sender, reports };
+  if (useFields === undefined) return { kind: 'calls', sender, reports };
+  const [incarnation, useRows] = useFields;
+  const use: UseReport = { incarnation, uses: unpackUses(useRows) };
+  return { kind: 'calls', sender, reports, use };
 }
 
 function packHeartbeat(heartbeat: HeartbeatMessage): HeartbeatFields {
--- a/packages/gateway/src/fleet/PeerMessage.ts
+++ b/packages/gateway/src/fleet/PeerMessage.ts
@@ -84,6 +84,27 @@
   readonly rateLimit?: RequestRate;
 }
 
+/** How many requests of a workspace a daemon or a region has sent on to targets. */
+export interface WorkspaceUse {
+  readonly workspace: string;
+  /** All since the reporter began to count. */
+  readonly count: number;
+  /** Those of the last second or two, for a receiver that knows no earlier count. */
+  readonly recent: number;
+}
+
+/** The process that counts uses; a later one of the same name begins at 0 again. */
+export interface UseReporter {
+  readonly name: string;
+  readonly incarnation: number;
+}
+
+/** What a daemon counted against the quotas of workspaces since its last report. */
+export interface UseReport {
+  readonly incarnation: number;
+  readonly uses: readonly WorkspaceUse[];
+}
+
 export type PeerMessage =
   /** A daemon describes itself when it starts, changes or discovers another. */
   | {
@@ -120,6 +141,22 @@
       readonly kind: 'calls';
       readonly sender: string;
       readonly reports: readonly AttemptReport[];
+      /** Absent without requests of workspaces that have a quota. */
+      readonly use?: UseReport;
+    }
+  /** What all daemons of a region counted, for the other regions. */
+  | {
+      readonly kind: 'region-use';
+      readonly sender: string;
+      readonly incarnation: number;
+      readonly region: string;
+      /** `ip:port` of the sender, to which the other regions may address theirs. */
+      readonly address: string;
+      /** Number of the message among those of the sender. */
+      readonly number: number;
+      /** Part of the region's daemons, from 0 to 1, for which the sender speaks. */
+      readonly part: number;
+      readonly uses: readonly WorkspaceUse[];
     }
   /** Update: what a read of the store returned. */
   | {
--- a/packages/gateway/src/fleet/peerHandlers.ts
+++ b/packages/gateway/src/fleet/peerHandlers.ts
@@ -4,6 +4,7 @@
 import type { CrashTracker } from '@cactusrun/requests';
 import type AttemptTracker from '../health/AttemptTracker.js';
 import type { SharedState } from '../wiring/GatewayParts.js';
+import type RegionUseExchange from '../limits/RegionUseExchange.js';
 import type FleetMembers from './FleetMembers.js';
 import type LocalDaemon from './LocalDaemon.js';
 import type { PeerSender } from './PeerLink.js';
@@ -30,13 +31,15 @@
   readonly link: PeerSender;
   readonly attemptTracker: AttemptTracker;
   readonly crashes: CrashTracker;
+  readonly regionUse: Pick<RegionUseExchange, 'receive'>;
   readonly follower: StateFollower;
   readonly random: Random;
 }
 
 export function createPeerHandlers(parts: PeerHandlerParts): PeerHandlers {
   const { name, daemon, sharedState, link, attemptTracker, crashes, follower, random } = parts;
-  const { members, outstanding, targets, rateLimits, leavingTargets } = sharedState;
+  const { regionUse } = parts;
+  const { members, outstanding, targets, rateLimits, leavingTargets, quotas } = sharedState;
   const recordLeaving = (told: readonly LeavingTarget[], peer: string) =>
     told.forEach((leavingTarget) => leavingTargets.record(leavingTarget, peer));
   return {
@@ -57,6 +60,7 @@
         link.send([from], daemon.createHello(true));
         return;
       }
+      quotas.recordHeard(message.sender);
       outstanding.replacePeerCounts(message.sender, message.outstanding);
       targets.applyUnhealthyReports(message.unhealthy);
       rateLimits.applyReports(message.rateLimits, message.sender);
@@ -66,8 +70,11 @@
     peers: (message) => link.send(members.addAddresses(message.peers), daemon.createHello(true)),
     calls: (message) => {
       members.recordReport(message.sender);
+      quotas.recordHeard(message.sender);
+      if (message.use !== undefined) quotas.applyReport(message.sender, message.use);
       attemptTracker.applyReports(message.sender, message.reports);
     },
+    'region-use': (message, from) => regionUse.receive(message, from),
     news: (message) => follower.applyUpdate(message),
     'leaving-targets': (message) => recordLeaving(message.leavingTargets, message.sender),
     crash: (message) => crashes.applyReport(message.fingerprint, message.crashes),
--- a/packages/gateway/src/health/AttemptTracker.ts
+++ b/packages/gateway/src/health/AttemptTracker.ts
@@ -9,6 +9,7 @@
 import type LeavingTargets from '../limits/LeavingTargets.js';
 import type TargetBackoffs from '../limits/TargetBackoffs.js';
 import type TargetRateLimits from '../limits/TargetRateLimits.js';
+import type WorkspaceQuotas from '../limits/WorkspaceQuotas.js';
 import type OutstandingRequests from '../placement/OutstandingRequests.js';
 import type { PeerSender } from '../fleet/PeerLink.js';
 import type { AttemptOutcome, AttemptReport } from '../fleet/PeerMessage.js';
@@ -18,6 +19,7 @@
 import type { Observation } from './TargetHealthEstimate.js';
 import type TargetTable from '../state/TargetTable.js';
 import type { KnownTarget } from '../state/TargetTable.js';
+import type { Workspace } from '../workspaces/Workspace.js';
 
 /**
  * Pending reports are sent together after the shortest of their delays. Daemons that choose targets
@@ -53,6 +55,7 @@
   readonly idleReuse: IdleReuse;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly rateLimits: TargetRateLimits;
+  readonly quotas: Pick<WorkspaceQuotas, 'record' | 'takeReport'>;
   readonly leavingTargets: LeavingTargets;
   readonly backoffs: TargetBackoffs;
   readonly directory: EntryDirectory;
@@ -72,6 +75,20 @@
 
   constructor(private readonly parts: AttemptTrackerParts) {}
 
+  /**
+   * Counts a request of a workspace against its quota, and reports it to peers: once a request, when
+   * it is sent on to a target or to a peer.
+   */
+  public recordRequest(workspace: Workspace): void {
+    this.parts.quotas.record(workspace);
+    if (workspace.quota !== undefined) this.reportUse();
+  }
+
+  /** Reports to peers what is counted against quotas. */
+  public reportUse(): void {
+    this.scheduleFlush(START_REPORT_DELAY_MILLISECONDS);
+  }
+
   /**
    * Records that this daemon starts an attempt at the target.
    *
@@ -237,9 +254,13 @@
   }
 
   private queueReport(report: AttemptReport): void {
-    const { clock } = this.parts;
     this.pendingReports.push(report);
-    const delay = reportDelay(report, this.parts.directory.entryAddresses().length);
+    this.scheduleFlush(reportDelay(report, this.parts.directory.entryAddresses().length));
+  }
+
+  /** Sends what is pending within the time, or earlier. */
+  private scheduleFlush(delay: number): void {
+    const { clock } = this.parts;
     if (clock.now() + delay >= this.flushAt) return;
     this.cancelFlush?.();
     this.flushAt = clock.now() + delay;
@@ -250,10 +271,12 @@
     const reports = this.pendingReports;
     this.pendingReports = [];
     this.flushAt = Number.POSITIVE_INFINITY;
+    const use = this.parts.quotas.takeReport();
     this.parts.link.send(this.parts.directory.entryAddresses(), {
       kind: 'calls',
       sender: this.parts.selfName,
       reports,
+      ...(use === undefined ? {} : { use }),
     });
   }
 }
--- a/packages/gateway/src/limits/RateLimitShare.ts
+++ b/packages/gateway/src/limits/RateLimitShare.ts
@@ -31,23 +31,24 @@
    * @param zone - availability zone of the target
    */
   public of(zone: string): number {
-    return this.regionPart(zone) * this.daemonPart();
-  }
-
-  private regionPart(zone: string): number {
-    if (this.regionCount <= 1) return 1;
-    if (this.parts.regions[zone] === this.parts.region) return HOME_REGION_FRACTION;
-    return (1 - HOME_REGION_FRACTION) / (this.regionCount - 1);
+    return this.regionPart(zone) * this.ofRegion();
   }
 
   /**
-   * A daemon that receives the reports of its peers shares with those that it has lost: they may
-   * still run on the other side of a partition. Any other daemon may use an equal share.
+   * The part of its region's limit that this daemon may use, from 0 to 1. A daemon that receives the
+   * reports of its peers shares with those that it has lost: they may still run on the other side of
+   * a partition. Any other daemon may use an equal share.
    */
-  private daemonPart(): number {
+  public ofRegion(): number {
     const { members, directory } = this.parts;
     const heard = members.countLive() + 1;
     const all = heard + members.countRecentlyLost();
     return (directory.isEntry() ? heard : 1) / all;
   }
+
+  private regionPart(zone: string): number {
+    if (this.regionCount <= 1) return 1;
+    if (this.parts.regions[zone] === this.parts.region) return HOME_REGION_FRACTION;
+    return (1 - HOME_REGION_FRACTION) / (this.regionCount - 1);
+  }
 }
--- a/packages/gateway/src/relay/RelayField.ts
+++ b/packages/gateway/src/relay/RelayField.ts
@@ -14,10 +14,19 @@
 /** Milliseconds until a target can take the request, with a refusal. */
 const FREE_IN_FIELD = 'cactusrun-free-in';
 
+/** What the relaying daemon has counted, so that its peer does not count it again. */
+const COUNTED_FIELD = 'cactusrun-counted';
+const QUOTA_COUNTED = 'quota';
+const BUDGET_COUNTED = 'retry-budget';
+
 /** What the relaying daemon states of a request. */
 export interface RelayStatement {
   readonly attemptsMade: number;
   readonly configurationVersion: number;
+  /** Whether the request is counted against the quota of its workspace; older builds do not. */
+  readonly isQuotaCounted?: boolean;
+  /** Whether the retry budget was raised for the request. */
+  readonly isBudgetCounted?: boolean;
 }
 
 const RELAY_FIELDS: readonly string[] = [
@@ -25,6 +34,7 @@
   VERSION_FIELD,
   REFUSAL_FIELD,
   FREE_IN_FIELD,
+  COUNTED_FIELD,
 ];
 
 /** Whether only daemons may set the field; those of callers and targets are removed. */
@@ -33,17 +43,25 @@
 }
 
 export function encodeStatement(statement: RelayStatement): HeaderFields {
+  const counted = [
+    ...(statement.isQuotaCounted === true ? [QUOTA_COUNTED] : []),
+    ...(statement.isBudgetCounted === true ? [BUDGET_COUNTED] : []),
+  ];
   return [
     [ATTEMPTS_FIELD, String(statement.attemptsMade)],
     [VERSION_FIELD, String(statement.configurationVersion)],
+    ...(counted.length === 0 ? [] : [[COUNTED_FIELD, counted.join(',')] as const]),
   ];
 }
 
 /** Fields that are missing or unreadable count as 0. */
 export function decodeStatement(headers: IncomingHttpHeaders): RelayStatement {
+  const counted = String(headers[COUNTED_FIELD] ?? '').split(',');
   return {
     attemptsMade: readNumber(headers[ATTEMPTS_FIELD]),
     configurationVersion: readNumber(headers[VERSION_FIELD]),
+    ...(counted.includes(QUOTA_COUNTED) ? { isQuotaCounted: true } : {}),
+    ...(counted.includes(BUDGET_COUNTED) ? { isBudgetCounted: true } : {}),
   };
 }
 
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -5,6 +5,7 @@
 import type { GatewayConfiguration } from '../state/GatewayConfiguration.js';
 import type { GatewayStore } from '../state/GatewayStore.js';
 import type { RetryBudgetLimits } from '../execution/RetryBudgetShare.js';
+import type { QuotaBounds } from '../limits/QuotaBounds.js';
 import type { TargetFieldNames } from '../connections/TargetAttempt.js';
 
 /** Durations of a graceful shutdown, counted from the signal. */
@@ -30,6 +31,7 @@
   /** Capacity for callers' requests, from 0 to 1; a host that is large enough to serve them has 1. */
   readonly capacity: number;
   readonly retryBudget: RetryBudgetLimits;
+  readonly quotaBounds: QuotaBounds;
   /** Share of a service's healthy targets that must stay in use, from 0 to 1. */
   readonly floorShare: number;
   readonly stopTimes: StopTimes;
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -24,6 +24,8 @@
 import LeavingTargets from '../limits/LeavingTargets.js';
 import TargetAdmission from '../limits/TargetAdmission.js';
 import TargetBackoffs from '../limits/TargetBackoffs.js';
+import QuotaRefusals from '../limits/QuotaRefusals.js';
+import WorkspaceQuotas from '../limits/WorkspaceQuotas.js';
 import TargetRateLimits from '../limits/TargetRateLimits.js';
 import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../health/TargetHealthEstimate.js';
 import TargetPicker from '../placement/TargetPicker.js';
@@ -43,6 +45,7 @@
   readonly idleReuse: IdleReuse;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly rateLimits: TargetRateLimits;
+  readonly quotas: WorkspaceQuotas;
   readonly leavingTargets: LeavingTargets;
   readonly backoffs: TargetBackoffs;
   readonly admission: TargetAdmission;
@@ -92,6 +95,8 @@
   const { region, regions } = options;
   const share = new RateLimitShare({ region, regions, members, directory });
   const rateLimits = new TargetRateLimits({ share, clock, random, counters, logger });
+  const quotas = buildQuotas(options, share, describeSelf, members, directory);
+  removalListeners.push((name) => quotas.forgetPeer(name));
   const leavingTargets = new LeavingTargets({ clock, counters, logger });
   const backoffs = new TargetBackoffs({ clock, counters, logger });
   const admission = new TargetAdmission({ leavingTargets, backoffs, rateLimits });
@@ -118,6 +123,7 @@
     idleReuse,
     retryBudgetShares,
     rateLimits,
+    quotas,
     leavingTargets,
     backoffs,
     admission,
@@ -127,6 +133,30 @@
   };
 }
 
+function buildQuotas(
+  { quotaBounds: bounds, regions, clock, counters, logger }: GatewayOptions,
+  share: RateLimitShare,
+  describeSelf: () => PeerDescription,
+  members: FleetMembers,
+  directory: EntryDirectory,
+): WorkspaceQuotas {
+  return new WorkspaceQuotas({
+    bounds,
+    regions: Math.max(1, new Set(Object.values(regions)).size),
+    share,
+    entryNames: () => {
+      const addresses = new Set(directory.entryAddresses());
+      return members
+        .live()
+        .filter(({ description }) => addresses.has(description.address))
+        .map(({ description }) => description.name);
+    },
+    incarnation: describeSelf().incarnation,
+    refusals: new QuotaRefusals(clock, counters, logger),
+    clock,
+  });
+}
+
 export function buildProxy(
   options: GatewayOptions,
   sharedState: SharedState,
@@ -155,6 +185,7 @@
     relay: sharedState.relay,
     serviceTimes: sharedState.serviceTimes,
     failures: sharedState.failures,
+    quotas: sharedState.quotas,
     crashes,
     retryBudgetShares: sharedState.retryBudgetShares,
     workspaceField: options.targetFields.workspace,
--- a/packages/gateway/src/wiring/wireGateway.ts
+++ b/packages/gateway/src/wiring/wireGateway.ts
@@ -16,6 +16,7 @@
 import PeerLink from '../fleet/PeerLink.js';
 import { fetchPeerState, servePeerState } from '../state/PeerStateServer.js';
 import shutDownGracefully from '../callers/shutDownGracefully.js';
+import RegionUseExchange from '../limits/RegionUseExchange.js';
 import StateFollower from '../state/StateFollower.js';
 
 export interface Gateway {
@@ -31,6 +32,7 @@
   readonly link: PeerLink;
   readonly attemptTracker: AttemptTracker;
   readonly crashes: CrashTracker;
+  readonly regionUse: RegionUseExchange;
   readonly follower: StateFollower;
 }
 
@@ -94,6 +96,15 @@
     counters,
     logger,
   });
+  const regionUse = new RegionUseExchange({
+    ...sharedState,
+    describeSelf: () => daemon.describe(),
+    regions: options.regions,
+    reportToPeers: () => attemptTracker.reportUse(),
+    link,
+    clock,
+    random,
+  });
   const follower = new StateFollower({
     store: options.store,
     state,
@@ -113,18 +124,19 @@
     link,
     attemptTracker,
     crashes,
+    regionUse,
     follower,
     random,
   };
   handlers = createPeerHandlers(parts);
-  return { link, attemptTracker, crashes, follower };
+  return { link, attemptTracker, crashes, regionUse, follower };
 }
 
 async function startLinks(
   options: GatewayOptions,
   daemon: LocalDaemon,
   sharedState: SharedState,
-  { link, follower }: Links,
+  { link, regionUse, follower }: Links,
 ): Promise<Stop> {
   const { name, peerAddress, store, clock, logger, random } = options;
   const { members, directory, state, reachability } = sharedState;
@@ -154,6 +166,7 @@
     stopLink,
     stopHeartbeat,
     follower.start(),
+    regionUse.start(),
     startPeerDiscovery(discovery),
     reachability.start(),
     announceReachability(reachability, clock, (isCutOff) =>
