--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -86,15 +86,14 @@
   };
 }
 
-/** Keys are accepted for this long after the store last confirmed the configuration. */
-export const KEY_TRUST_MILLISECONDS = 5_000;
-
 const LIMITS = { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 };
 
 const BUDGET = { ratio: 0.2, fixedRetries: 40, windowMilliseconds: 10_000, regions: 1 };
 
 interface ProxyFixtureOptions {
   /** Whether the configuration and the registry are known from the start. */
+  /** Time for which keys are accepted without news of the configuration; no limit if absent. */
+  readonly keyTrustMilliseconds?: number;
   /** Keys that callers need, if they do. */
   readonly workspaces?: WorkspaceKeys;
   readonly hasState?: boolean;
@@ -134,16 +133,16 @@
 
   public readonly outstanding = new OutstandingRequests();
 
+  public readonly retryBudgetShares = new RetryBudgetShares(BUDGET, () => 1, this.clock);
+
   private readonly targets: TargetTable;
 
   private readonly state: GatewayState;
 
   private readonly proxy: RequestProxy;
 
-  private readonly workspaces: WorkspaceKeys | undefined;
-
-  constructor({ hasState = true, workspaces, hedgeShare = 0 }: ProxyFixtureOptions = {}) {
-    this.workspaces = workspaces;
+  constructor(private readonly options: ProxyFixtureOptions = {}) {
+    const { hasState = true, hedgeShare = 0 } = options;
     this.targets = new TargetTable(this.clock, DEFAULT_HEALTH_MODEL_PARAMETERS);
     this.state = this.createState();
     if (hasState) this.provideState();
@@ -200,7 +199,7 @@
       version: 1,
       limits: LIMITS,
       routes: new Map([['h', KINDS.map(createRoute)]]),
-      workspaces: this.workspaces,
+      workspaces: this.options.workspaces,
     };
     return new GatewayState(
       () => configuration,
@@ -213,10 +212,10 @@
 
   private createProxy(hedgeShare: number): RequestProxy {
     const { clock, targets, counters, outstanding, reachability, lostTargets, state } = this;
+    const { retryBudgetShares } = this;
     const serviceTimes = new ServiceTimes();
     const failures = new FailureRates(clock);
     const random = createRandom(3);
-    const retryBudgetShares = new RetryBudgetShares(BUDGET, () => 1, clock);
     const notices = createTargetNotices(clock);
     const attemptTracker = new AttemptTracker({
       selfName: 'm',
@@ -247,6 +246,7 @@
     });
     return new RequestProxy({
       state,
+      quotas: notices.quotas,
       picker,
       hedging: new HedgePolicy({
         share: hedgeShare,
@@ -272,7 +272,7 @@
       crashes: new CrashTracker(clock, counters, () => {}),
       retryBudgetShares,
       workspaceField: 'X-Workspace',
-      keyTrustMilliseconds: KEY_TRUST_MILLISECONDS,
+      keyTrustMilliseconds: this.options.keyTrustMilliseconds ?? Number.POSITIVE_INFINITY,
       clock,
       random,
       counters,
--- a/packages/gateway/src/__tests__/unit/workspacesOfRequests.test.ts
+++ b/packages/gateway/src/__tests__/unit/workspacesOfRequests.test.ts
@@ -3,8 +3,9 @@
 import type { HeaderFields } from '../../connections/TargetAttempt.js';
 import WorkspaceKeys from '../../workspaces/WorkspaceKeys.js';
 import { connectAtOnce, refuseAtOnce } from './createReachability.js';
-import ProxyFixture, { answer, describeOutcome, KEY_TRUST_MILLISECONDS } from './ProxyFixture.js';
+import ProxyFixture, { answer, describeOutcome } from './ProxyFixture.js';
 
+const KEY_TRUST_MILLISECONDS = 5_000;
 const workspace = { name: 'w', priority: undefined, quota: undefined };
 const KEYED: HeaderFields = [['Authorization', 'Bearer secret']];
 
@@ -13,7 +14,7 @@
 
   beforeEach(() => {
     const workspaces = new WorkspaceKeys([{ workspace, keys: ['secret'] }]);
-    fixture = new ProxyFixture({ hasState: true, workspaces });
+    fixture = new ProxyFixture({ workspaces, keyTrustMilliseconds: KEY_TRUST_MILLISECONDS });
     fixture.confirm(0);
   });
 
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -30,6 +30,7 @@
   OutgoingRequest,
   TargetAnswer,
 } from '../connections/TargetAttempt.js';
+import type WorkspaceQuotas from '../limits/WorkspaceQuotas.js';
 import type { Workspace } from '../workspaces/Workspace.js';
 import type AnswerSizes from '../placement/AnswerSizes.js';
 import type TargetPicker from '../placement/TargetPicker.js';
@@ -46,6 +47,7 @@
   /** Learns the lengths of answers; if absent, they do not count in the choice of targets. */
   readonly answerSizes?: AnswerSizes;
   readonly requestAdmission: RequestAdmission;
+  readonly quotas: { check: WorkspaceQuotas['check'] };
   readonly crashes: CrashTracker;
   readonly retryBudgetShares: RetryBudgetShares;
   readonly counters: Counters;
@@ -109,6 +111,12 @@
   /** Set once the request is admitted to the targets of its service. */
   private admitted: Extract<AdmissionResult, { kind: 'admitted' }> | undefined;
 
+  /** Whether the request is counted against the quota of its workspace. */
+  private isQuotaCounted: boolean;
+
+  /** Whether the retry budget was raised for the request. */
+  private isBudgetCounted: boolean;
+
   private readonly connectionFailures: ConnectionFailures;
 
   /** Whether peers were asked to send the request though this daemon reaches some targets. */
@@ -184,7 +192,10 @@
   ) {
     this.log = new AttemptLog(parts, plan.exchange.id, plan.service);
     this.connectionFailures = new ConnectionFailures(parts.reachability, parts.clock);
-    this.failedAttempts = plan.exchange.relayed?.attemptsMade ?? 0;
+    const { relayed } = plan.exchange;
+    this.failedAttempts = relayed?.attemptsMade ?? 0;
+    this.isQuotaCounted = relayed?.isQuotaCounted === true;
+    this.isBudgetCounted = relayed?.isBudgetCounted === true || this.failedAttempts > 0;
   }
 
   /** Attempts the request until there is an outcome for its caller. */
@@ -227,8 +238,19 @@
       signal: exchange.signal,
     });
     if (result.kind === 'refused') return this.conclude('overloaded', result.freeInMilliseconds);
-    if (result.kind === 'admitted') this.admitted = result;
-    return RETRY;
+    if (result.kind !== 'admitted') return RETRY;
+    this.admitted = result;
+    return this.recheckQuota();
+  }
+
+  /** Others may have used up the quota of the workspace while the request waited. */
+  private recheckQuota(): Step {
+    const { workspace } = this.plan;
+    if (workspace === undefined || this.isQuotaCounted) return RETRY;
+    const verdict = this.parts.quotas.check(workspace);
+    return verdict.kind === 'free'
+      ? RETRY
+      : this.conclude(verdict.kind, verdict.freeInMilliseconds);
   }
 
   private concludeUnplaced(
@@ -275,11 +297,18 @@
   /** Has a peer execute the request, which counts its retries there. */
   private async relay(): Promise<Step> {
     const { exchange, route, deadline, version, needsAuthorization } = this.plan;
+    this.countQuota();
+    const { isQuotaCounted, isBudgetCounted } = this;
     const result = await this.parts.relay.send({
       exchange,
       kind: sendKindOf(route),
       deadline,
-      statement: { attemptsMade: this.failedAttempts, configurationVersion: version },
+      statement: {
+        attemptsMade: this.failedAttempts,
+        configurationVersion: version,
+        isQuotaCounted,
+        isBudgetCounted,
+      },
       needsAuthorization,
     });
     const handle = this.relayHandlers[result.kind] as (result: RelayResult) => Step;
@@ -343,6 +372,8 @@
     const isFirst = this.excluded.size === 0 && (exchange.relayed?.attemptsMade ?? 0) === 0;
     if (isFirst) this.parts.hedging.recordRequest(service);
     this.excluded.add(pick.target.entry.id);
+    this.countQuota();
+    this.countBudget();
     const isRetry = this.failedAttempts + this.attemptsInProgress > 0;
     this.attemptsInProgress += 1;
     const request = {
@@ -359,6 +390,21 @@
     return startAttempt(this.parts, pick, service, request, exchange.signal);
   }
 
+  /** Counts the request against the quota of its workspace, once. */
+  private countQuota(): void {
+    const { workspace } = this.plan;
+    if (workspace === undefined || this.isQuotaCounted) return;
+    this.isQuotaCounted = true;
+    this.parts.attemptTracker.recordRequest(workspace);
+  }
+
+  /** Raises the retry budget for the first attempt of the request, once. */
+  private countBudget(): void {
+    if (this.isBudgetCounted) return;
+    this.isBudgetCounted = true;
+    this.parts.retryBudgetShares.shareOf(this.plan.service).deposit();
+  }
+
   private isIdempotent(): boolean {
     return isRepeatable(this.plan.route.kind);
   }
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -5,6 +5,7 @@
 import type { GatewayConfiguration } from '../state/GatewayConfiguration.js';
 import type { GatewayStore } from '../state/GatewayStore.js';
 import type { RetryBudgetLimits } from '../execution/RetryBudgetShare.js';
+import type { QuotaBounds } from '../limits/QuotaBounds.js';
 import type { TargetFieldNames } from '../connections/TargetAttempt.js';
 
 /** Durations of a graceful shutdown, counted from the signal. */
@@ -32,6 +33,7 @@
   readonly retryBudget: RetryBudgetLimits;
   /** Time for which keys are accepted after the store last confirmed the configuration. */
   readonly keyTrustMilliseconds: number;
+  readonly quotaBounds: QuotaBounds;
   /** Share of a service's healthy targets that must stay in use, from 0 to 1. */
   readonly floorShare: number;
   /** Hedged requests that operators accept per request of a service, from 0 (none) to 1. */
