Forget workspaces whose use only peers report

Cause: a meter whose quota this daemon never looked up was never empty, so it stayed in memory. Change: such a meter is forgotten once it was not used for a minute.

--- a/packages/gateway/src/__tests__/unit/WorkspaceQuotas.test.ts
+++ b/packages/gateway/src/__tests__/unit/WorkspaceQuotas.test.ts
@@ -3,11 +3,12 @@
  * other's use, and against refusals of requests that are within the quota.
  */
 import type { Random } from '@cactusrun/core';
-import { createRandom } from '@cactusrun/core';
+import { createRandom, ManualClock } from '@cactusrun/core';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { DEFAULT_QUOTA_BOUNDS, toleratedExcess } from '../../limits/QuotaBounds.js';
 import type { RequestQuota } from '../../workspaces/Workspace.js';
+import createQuotas from './createQuotas.js';
 import QuotaFleet, { ENTRIES_PER_ZONE, NO_FAULTS, STEP_MILLISECONDS, ZONES } from './QuotaFleet.js';
 
 const SEED = 20_261_204;
@@ -192,3 +193,23 @@
     },
   );
 });
+
+describe('WorkspaceQuotas of one daemon', () => {
+  it('forget workspaces that were not used for long, their own and those that peers report', () => {
+    const clock = new ManualClock();
+    const daemon = createQuotas(clock);
+    const quota = { requestsPerSecond: 1, burst: 2 };
+    Array.from({ length: 1_000 }, (_, index) => `w${index}`).forEach((name, index) => {
+      daemon.check({ name, priority: undefined, quota });
+      daemon.record({ name, priority: undefined, quota });
+      const uses = [{ workspace: `p${index}`, count: 5, recent: 5 }];
+      daemon.applyReport('peer', { incarnation: 1, uses });
+    });
+    const sweepAll = () => Array.from({ length: 5 }).forEach(() => daemon.sweep());
+    sweepAll();
+    expect(daemon.size).toBe(2_000);
+    clock.pause(61_000);
+    sweepAll();
+    expect(daemon.size).toBe(0);
+  });
+});
--- a/packages/gateway/src/limits/QuotaMeter.ts
+++ b/packages/gateway/src/limits/QuotaMeter.ts
@@ -94,8 +94,9 @@
     this.regionParts.recordOther(region, reporter, use, now);
   }
 
-  /** Whether forgetting this meter loses nothing: it is empty. */
+  /** Whether forgetting a meter that was not used for long loses nothing. */
   public isEmpty(now: number): boolean {
+    if (this.quota === undefined) return true;
     this.drain(now);
     return this.level <= 0;
   }
