Admission acts only where the configuration has workspaces; claim a quota in one step with its check

Its queue is shorter than what pays for callers who do not compete. And requests of one tick all passed the quota check before one of them was counted (requestQuotas: 5 failed). Change: no admission without workspaces, Retry-After as before there; a request is counted in the step that checks. requestAdmissionOrder now sends keyed requests, with the same expectations, and has one case without workspaces.

--- a/packages/gateway/src/__tests__/unit/requestAdmissionOrder.test.ts
+++ b/packages/gateway/src/__tests__/unit/requestAdmissionOrder.test.ts
@@ -5,10 +5,14 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import type { CallerOutcome } from '../../callers/CallerExchange.js';
 import type { AttemptResult } from '../../connections/TargetAttempt.js';
+import WorkspaceKeys from '../../workspaces/WorkspaceKeys.js';
 import ProxyFixture, { describeOutcome, RESULTS } from './ProxyFixture.js';
 
 /** The fixture has ten targets with two slots each. */
 const SLOTS = 20;
+const WORKSPACE = { name: 'w', priority: undefined, quota: undefined };
+const WORKSPACES = new WorkspaceKeys([{ workspace: WORKSPACE, keys: ['k'] }]);
+const KEYED = [['Authorization', 'Bearer k']] as const;
 
 describe('requests under overload', () => {
   let fixture: ProxyFixture;
@@ -16,7 +20,7 @@
   let outcomes: CallerOutcome[];
 
   beforeEach(() => {
-    fixture = new ProxyFixture();
+    fixture = new ProxyFixture({ workspaces: WORKSPACES });
     answers = [];
     outcomes = [];
     fixture.script = () =>
@@ -26,14 +30,14 @@
   });
 
   /** Sends requests one after the other. */
-  async function send(count: number): Promise<void> {
+  async function send(count: number, isKeyed = true): Promise<void> {
     if (count === 0) return;
     fixture
-      .handle(fixture.createExchange('non-idempotent'))
+      .handle(fixture.createExchange('non-idempotent', { fields: isKeyed ? KEYED : [] }))
       .then((outcome) => outcomes.push(outcome))
       .catch(() => {});
     await fixture.clock.advance(0);
-    await send(count - 1);
+    await send(count - 1, isKeyed);
   }
 
   async function answerAll(result: AttemptResult = RESULTS.good): Promise<void> {
@@ -47,6 +51,13 @@
     expect(outcomes).toEqual([]);
   });
 
+  it('are all sent to the queues of the targets where callers belong to no workspace', async () => {
+    fixture = new ProxyFixture();
+    fixture.script = () => new Promise(() => {});
+    await send(4 * SLOTS, false);
+    expect(fixture.sent).toHaveLength(4 * SLOTS);
+  });
+
   it('are sent, queued or refused at once with a time to return', async () => {
     await send(SLOTS);
     await send(3 * SLOTS);
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -224,8 +224,15 @@
     return this.send(picked.pick);
   }
 
-  /** Has the request admitted under overload; the attempt starts anew afterwards. */
+  /**
+   * Has the request admitted under overload; the attempt starts anew afterwards. Without workspaces
+   * requests do not compete here: they queue at the targets.
+   */
   private async seekAdmission(): Promise<Step> {
+    if (!this.plan.needsAuthorization) {
+      this.admitted = { kind: 'admitted', needsFreeSlot: false };
+      return RETRY;
+    }
     const { exchange, route, service, priority, workspace, deadline } = this.plan;
     const result = await this.parts.requestAdmission.admit({
       id: exchange.id,
@@ -240,28 +247,31 @@
     if (result.kind === 'refused') return this.conclude('overloaded', result.freeInMilliseconds);
     if (result.kind !== 'admitted') return RETRY;
     this.admitted = result;
-    return this.recheckQuota();
+    return this.claimQuota();
   }
 
-  /** Others may have used up the quota of the workspace while the request waited. */
-  private recheckQuota(): Step {
+  /**
+   * Counts an admitted request against the quota of its workspace, in one step with the check: others
+   * may have used the quota up while it waited.
+   */
+  private claimQuota(): Step {
     const { workspace } = this.plan;
     if (workspace === undefined || this.isQuotaCounted) return RETRY;
     const verdict = this.parts.quotas.check(workspace);
-    return verdict.kind === 'free'
-      ? RETRY
-      : this.conclude(verdict.kind, verdict.freeInMilliseconds);
+    if (verdict.kind !== 'free') return this.conclude(verdict.kind, verdict.freeInMilliseconds);
+    this.countQuota();
+    return RETRY;
   }
 
   private concludeUnplaced(
     picked: Exclude<PickResult, { kind: 'picked' }>,
     remaining: number,
   ): Step {
-    const { service, deadline } = this.plan;
+    const { service, deadline, needsAuthorization } = this.plan;
     this.log.recordUnplaced(picked, remaining, this.excluded.size);
     const freeIn = picked.kind === 'backing-off' ? picked.freeInMilliseconds : undefined;
     const returnIn =
-      picked.kind === 'full'
+      picked.kind === 'full' && needsAuthorization
         ? this.parts.requestAdmission.promiseReturn(service, deadline)
         : freeIn;
     return this.conclude(UNPLACED_REASONS[picked.kind] ?? this.lastReason, returnIn);
