--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -7,6 +7,7 @@
 import type { AdmissionResult } from '../admission/AdmissionQuery.js';
 import type RequestAdmission from '../admission/RequestAdmission.js';
 import AttemptLog from './AttemptLog.js';
+import RequestCounts from './RequestCounts.js';
 import ConnectionFailures from './ConnectionFailures.js';
 import type { AnswerVerdict } from './judgeAnswer.js';
 import { judgeAnswer } from './judgeAnswer.js';
@@ -111,11 +112,7 @@
   /** Set once the request is admitted to the targets of its service. */
   private admitted: Extract<AdmissionResult, { kind: 'admitted' }> | undefined;
 
-  /** Whether the request is counted against the quota of its workspace. */
-  private isQuotaCounted: boolean;
-
-  /** Whether the retry budget was raised for the request. */
-  private isBudgetCounted: boolean;
+  private readonly counts: RequestCounts;
 
   private readonly connectionFailures: ConnectionFailures;
 
@@ -194,8 +191,7 @@
     this.connectionFailures = new ConnectionFailures(parts.reachability, parts.clock);
     const { relayed } = plan.exchange;
     this.failedAttempts = relayed?.attemptsMade ?? 0;
-    this.isQuotaCounted = relayed?.isQuotaCounted === true;
-    this.isBudgetCounted = relayed?.isBudgetCounted === true || this.failedAttempts > 0;
+    this.counts = new RequestCounts(parts, plan.service, plan.workspace, relayed);
   }
 
   /** Attempts the request until there is an outcome for its caller. */
@@ -247,20 +243,9 @@
     if (result.kind === 'refused') return this.conclude('overloaded', result.freeInMilliseconds);
     if (result.kind !== 'admitted') return RETRY;
     this.admitted = result;
-    return this.claimQuota();
-  }
-
-  /**
-   * Counts an admitted request against the quota of its workspace, in one step with the check: others
-   * may have used the quota up while it waited.
-   */
-  private claimQuota(): Step {
-    const { workspace } = this.plan;
-    if (workspace === undefined || this.isQuotaCounted) return RETRY;
-    const verdict = this.parts.quotas.check(workspace);
-    if (verdict.kind !== 'free') return this.conclude(verdict.kind, verdict.freeInMilliseconds);
-    this.countQuota();
-    return RETRY;
+    const verdict = this.counts.claimQuota();
+    if (verdict.kind === 'free') return RETRY;
+    return this.conclude(verdict.kind, verdict.freeInMilliseconds);
   }
 
   private concludeUnplaced(
@@ -307,8 +292,7 @@
   /** Has a peer execute the request, which counts its retries there. */
   private async relay(): Promise<Step> {
     const { exchange, route, deadline, version, needsAuthorization } = this.plan;
-    this.countQuota();
-    const { isQuotaCounted, isBudgetCounted } = this;
+    this.counts.countQuota();
     const result = await this.parts.relay.send({
       exchange,
       kind: sendKindOf(route),
@@ -316,8 +300,7 @@
       statement: {
         attemptsMade: this.failedAttempts,
         configurationVersion: version,
-        isQuotaCounted,
-        isBudgetCounted,
+        ...this.counts.statement,
       },
       needsAuthorization,
     });
@@ -382,8 +365,7 @@
     const isFirst = this.excluded.size === 0 && (exchange.relayed?.attemptsMade ?? 0) === 0;
     if (isFirst) this.parts.hedging.recordRequest(service);
     this.excluded.add(pick.target.entry.id);
-    this.countQuota();
-    this.countBudget();
+    this.counts.countFirstAttempt();
     const isRetry = this.failedAttempts + this.attemptsInProgress > 0;
     this.attemptsInProgress += 1;
     const request = {
@@ -400,21 +382,6 @@
     return startAttempt(this.parts, pick, service, request, exchange.signal);
   }
 
-  /** Counts the request against the quota of its workspace, once. */
-  private countQuota(): void {
-    const { workspace } = this.plan;
-    if (workspace === undefined || this.isQuotaCounted) return;
-    this.isQuotaCounted = true;
-    this.parts.attemptTracker.recordRequest(workspace);
-  }
-
-  /** Raises the retry budget for the first attempt of the request, once. */
-  private countBudget(): void {
-    if (this.isBudgetCounted) return;
-    this.isBudgetCounted = true;
-    this.parts.retryBudgetShares.shareOf(this.plan.service).deposit();
-  }
-
   private isIdempotent(): boolean {
     return isRepeatable(this.plan.route.kind);
   }
