--- a/packages/gateway/src/__tests__/unit/WorkspaceQuotas.test.ts
+++ b/packages/gateway/src/__tests__/unit/WorkspaceQuotas.test.ts
@@ -2,21 +2,19 @@
  * Guards against a workspace that gets more than its quota from daemons which do not know each
  * other's use, and against refusals of requests that are within the quota.
  */
-import { createRandom, ManualClock } from '@cactusrun/core';
+import { ManualClock } from '@cactusrun/core';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import createQuotas from './createQuotas.js';
-import QuotaFleet from './QuotaFleet.js';
+import type QuotaFleet from './QuotaFleet.js';
 import {
   allowedInWindow,
+  nothingRefused,
   play,
   PROPERTY_TIMEOUT_MILLISECONDS,
-  quotas,
   RUNS,
-  runWithin,
   scenarios,
   SEED,
-  weights,
 } from './quotaScenarios.js';
 
 /** Larger leaps, and demand that uses the whole quota, stand in `workspaceQuotasAtTheirBounds`. */
@@ -82,17 +80,7 @@
     'refuse nothing within the quota while no message is lost',
     { timeout: PROPERTY_TIMEOUT_MILLISECONDS },
     () => {
-      const calm = fc.record({ seed: fc.nat(), quota: quotas, before: weights, after: weights });
-      fc.assert(
-        fc.property(calm, ({ seed, quota, before, after }) => {
-          const random = createRandom(seed);
-          const fleet = new QuotaFleet(random, quota);
-          runWithin(fleet, random, before, USED);
-          runWithin(fleet, random, after, USED);
-          expect(fleet.refused).toBe(0);
-        }),
-        { seed: SEED, numRuns: RUNS },
-      );
+      fc.assert(nothingRefused(USED), { seed: SEED, numRuns: RUNS });
     },
   );
 });
--- a/packages/gateway/src/__tests__/unit/quotaScenarios.ts
+++ b/packages/gateway/src/__tests__/unit/quotaScenarios.ts
@@ -25,7 +25,7 @@
   return requestsPerSecond * WINDOW_SECONDS + burst + excess;
 }
 
-export const quotas = fc
+const quotas = fc
   .record({
     rate: fc.constantFrom(1, 2, 5, 20, 60, 100),
     burstSeconds: fc.double({ min: 0, max: 1, noNaN: true }),
@@ -34,7 +34,7 @@
     requestsPerSecond: rate,
     burst: Math.round(rate * burstSeconds),
   }));
-export const weights = fc
+const weights = fc
   .array(fc.constantFrom(0, 0, 1, 1, 3), {
     minLength: ZONES.length * ENTRIES_PER_ZONE,
     maxLength: ZONES.length * ENTRIES_PER_ZONE,
@@ -64,7 +64,7 @@
  * Runs the fleet under a demand of parts of the quota: requests come at random, and those that a token bucket of
  * the whole fleet, with these parts, would not let pass are not made.
  */
-export function runWithin(
+function runWithin(
   fleet: QuotaFleet,
   random: Random,
   spread: readonly number[],
@@ -126,3 +126,15 @@
   run(fleet, random, rate * given.laterFactor, given.before, 6_000);
   return fleet;
 }
+
+/** The property that nothing is refused, while no message is lost, of a demand of parts of the quota. */
+export function nothingRefused(used: UsedParts): fc.IProperty<unknown[]> {
+  const calm = fc.record({ seed: fc.nat(), quota: quotas, before: weights, after: weights });
+  return fc.property(calm, ({ seed, quota, before, after }) => {
+    const random = createRandom(seed);
+    const fleet = new QuotaFleet(random, quota);
+    runWithin(fleet, random, before, used);
+    runWithin(fleet, random, after, used);
+    return fleet.refused === 0;
+  }) as fc.IProperty<unknown[]>;
+}
--- a/packages/gateway/src/__tests__/unit/workspaceQuotasAtTheirBounds.test.ts
+++ b/packages/gateway/src/__tests__/unit/workspaceQuotasAtTheirBounds.test.ts
@@ -2,19 +2,16 @@
  * Guards against a workspace that gets more than its quota when its demand leaps in the moment of a
  * cut, and against refusals of a demand that uses the whole quota.
  */
-import { createRandom } from '@cactusrun/core';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import QuotaFleet from './QuotaFleet.js';
+import type QuotaFleet from './QuotaFleet.js';
 import {
   allowedInWindow,
+  nothingRefused,
   play,
   PROPERTY_TIMEOUT_MILLISECONDS,
-  quotas,
-  runWithin,
   scenarios,
   SEED,
-  weights,
 } from './quotaScenarios.js';
 
 const RUNS = 60;
@@ -49,17 +46,7 @@
     'refuse nothing of a demand that uses the whole quota while no message is lost',
     { timeout: PROPERTY_TIMEOUT_MILLISECONDS },
     () => {
-      const calm = fc.record({ seed: fc.nat(), quota: quotas, before: weights, after: weights });
-      fc.assert(
-        fc.property(calm, ({ seed, quota, before, after }) => {
-          const random = createRandom(seed);
-          const fleet = new QuotaFleet(random, quota);
-          runWithin(fleet, random, before, WHOLE);
-          runWithin(fleet, random, after, WHOLE);
-          expect(fleet.refused).toBe(0);
-        }),
-        { seed: SEED, numRuns: RUNS },
-      );
+      fc.assert(nothingRefused(WHOLE), { seed: SEED, numRuns: RUNS });
     },
   );
 });
