--- a/packages/gateway/src/__tests__/unit/ScoutTraffic.test.ts
+++ b/packages/gateway/src/__tests__/unit/RepeatableTraffic.test.ts
@@ -4,12 +4,12 @@
  */
 import { ManualClock } from '@cactusrun/core';
 import { describe, expect, it } from 'vitest';
-import ScoutTraffic from '../../placement/ScoutTraffic.js';
+import RepeatableTraffic from '../../placement/RepeatableTraffic.js';
 
-describe('ScoutTraffic', () => {
+describe('RepeatableTraffic', () => {
   it('holds for the services that had such a request in the last seconds', () => {
     const clock = new ManualClock();
-    const traffic = new ScoutTraffic(clock);
+    const traffic = new RepeatableTraffic(clock);
     expect(traffic.isFlowing('orders')).toBe(false);
     traffic.record('orders');
     clock.pause(1_900);
--- a/packages/gateway/src/placement/ScoutTraffic.ts
+++ b/packages/gateway/src/placement/RepeatableTraffic.ts
@@ -7,7 +7,7 @@
 /** A service without such a request for this long has none. */
 const WINDOW_MILLISECONDS = 2_000;
 
-export default class ScoutTraffic {
+export default class RepeatableTraffic {
   /** Monotonic time of the last request that may be retried, by service. */
   private readonly lastAt = new Map<string, number>();
 
--- a/packages/gateway/src/placement/TargetCost.ts
+++ b/packages/gateway/src/placement/TargetCost.ts
@@ -44,7 +44,7 @@
 /** A target counts as new for this long. */
 const NEW_TARGET_MILLISECONDS = 10_000;
 /** For this long, a new target is left to the requests that may be retried, if there are any. */
-const SCOUTED_MILLISECONDS = 2_000;
+const LEFT_TO_OTHERS_MILLISECONDS = 2_000;
 
 export interface TargetCostParts {
   /** Location of this daemon. */
@@ -59,8 +59,8 @@
 export default class TargetCost {
   constructor(private readonly parts: TargetCostParts) {}
 
-  /** @param isScouted - whether other requests, which may be retried, find out who is healthy */
-  public costOf(pick: Pick, query: PickQuery, isScouted: boolean): number {
+  /** @param leavesTrials - whether other requests, which may be retried, find out who is healthy */
+  public costOf(pick: Pick, query: PickQuery, leavesTrials: boolean): number {
     const failureCost = isRepeatable(query.kind) ? REPEATABLE_FAILURE_COST : 1;
     const waitSeconds = pick.waitMilliseconds / MILLISECONDS_PER_SECOND;
     const failure = pick.failureProbability + ONSET_PER_SECOND * waitSeconds;
@@ -69,7 +69,7 @@
       latenessCost(pick, query) +
       this.networkCost(pick.target.entry.zone, query, failureCost) +
       this.connectionCost(pick, query.kind) -
-      this.discountOf(pick, isScouted) +
+      this.discountOf(pick, leavesTrials) +
       this.parts.random.unit() * TIE_BREAK_COST
     );
   }
@@ -79,15 +79,15 @@
   }
 
   /** What a request is worth as a trial of a target of which too little is known. */
-  private discountOf(pick: Pick, isScouted: boolean): number {
-    const firstUse = this.isUnused(pick, isScouted) ? FIRST_USE_DISCOUNT : 0;
+  private discountOf(pick: Pick, leavesTrials: boolean): number {
+    const firstUse = this.isUnused(pick, leavesTrials) ? FIRST_USE_DISCOUNT : 0;
     return firstUse + (pick.due === undefined ? 0 : DUE_DISCOUNTS[pick.due]);
   }
 
   /** Whether the target is new, has not received a request yet and should get this one. */
-  private isUnused({ target, requestsThere }: Pick, isScouted: boolean): boolean {
+  private isUnused({ target, requestsThere }: Pick, leavesTrials: boolean): boolean {
     const age = this.parts.clock.now() - target.joinedAt;
-    const isLeftToOthers = isScouted && age < SCOUTED_MILLISECONDS;
+    const isLeftToOthers = leavesTrials && age < LEFT_TO_OTHERS_MILLISECONDS;
     const isNew = age < NEW_TARGET_MILLISECONDS && !isLeftToOthers;
     return isNew && target.usedAt === 0 && requestsThere === 0;
   }
--- a/packages/gateway/src/placement/TargetCoverage.ts
+++ b/packages/gateway/src/placement/TargetCoverage.ts
@@ -35,16 +35,16 @@
    * The targets that are due for a request.
    *
    * @param targets - reachable targets of the service
-   * @param isScouted - whether the request should be spared because others can try idle targets; at
+   * @param leavesTrials - whether the request should be spared because others can try idle targets; at
    *   a high failure rate none is
    */
   public due(
     service: string,
     targets: readonly KnownTarget[],
-    isScouted = false,
+    leavesTrials = false,
   ): ReadonlyMap<string, DueReason> {
     const hasHighFailureRate = this.failures.rateOf(service) >= HIGH_FAILURE_RATE;
-    if (isScouted && !hasHighFailureRate) return NOTHING_DUE;
+    if (leavesTrials && !hasHighFailureRate) return NOTHING_DUE;
     const now = this.clock.now();
     const eligible = targets.filter(
       ({ healthEstimate }) => now - healthEstimate.failedAt > FAILURE_COOLDOWN_MILLISECONDS,
--- a/packages/gateway/src/placement/TargetPicker.ts
+++ b/packages/gateway/src/placement/TargetPicker.ts
@@ -8,7 +8,7 @@
 import { isRepeatable } from '../state/GatewayConfiguration.js';
 import type OutstandingRequests from './OutstandingRequests.js';
 import type ServiceTimes from './ServiceTimes.js';
-import ScoutTraffic from './ScoutTraffic.js';
+import RepeatableTraffic from './RepeatableTraffic.js';
 import TargetCost from './TargetCost.js';
 import type { TargetCostParts } from './TargetCost.js';
 import type TargetCoverage from './TargetCoverage.js';
@@ -79,15 +79,15 @@
 export default class TargetPicker {
   private readonly cost: TargetCost;
 
-  private readonly scouts: ScoutTraffic;
+  private readonly repeatable: RepeatableTraffic;
 
   constructor(private readonly parts: TargetPickerParts) {
     this.cost = new TargetCost(parts);
-    this.scouts = new ScoutTraffic(parts.clock);
+    this.repeatable = new RepeatableTraffic(parts.clock);
   }
 
   public pick(query: PickQuery): PickResult {
-    if (isRepeatable(query.kind)) this.scouts.record(query.service);
+    if (isRepeatable(query.kind)) this.repeatable.record(query.service);
     const now = this.parts.clock.now();
     const usable = this.parts.targets
       .usable(query.service)
@@ -102,22 +102,22 @@
       ({ entry }) => !isRetry || !this.parts.admission.isUnproven(entry),
     );
     const sameRegion = candidates.filter(({ entry }) => !this.cost.isOtherRegion(entry.zone));
-    const isScouted = this.isScouted(query);
-    const due = this.parts.coverage.due(query.service, sameRegion, isScouted);
+    const leavesTrials = this.leavesTrials(query);
+    const due = this.parts.coverage.due(query.service, sameRegion, leavesTrials);
     const picks = candidates.map((target) => this.estimate(target, query.service, now, due));
     const fitting = picks.filter(
       ({ expectedMilliseconds }) => expectedMilliseconds < query.remainingMilliseconds,
     );
     const eligible = query.needsFreeSlot ? withFreeSlots(fitting) : fitting;
-    const best = this.cheapest(eligible, query, isScouted);
+    const best = this.cheapest(eligible, query, leavesTrials);
     if (best !== undefined) return { kind: 'picked', pick: best };
     const shortest = Math.min(...picks.map(({ expectedMilliseconds }) => expectedMilliseconds));
     return { kind: 'full', expectedMilliseconds: shortest };
   }
 
   /** Whether the request must not be lost to a trial: requests that may be retried find out. */
-  private isScouted({ kind, service }: PickQuery): boolean {
-    return !isRepeatable(kind) && this.scouts.isFlowing(service);
+  private leavesTrials({ kind, service }: PickQuery): boolean {
+    return !isRepeatable(kind) && this.repeatable.isFlowing(service);
   }
 
   /**
@@ -139,9 +139,13 @@
       : { kind: 'backing-off', freeInMilliseconds: Math.min(...backoffEnds) - now };
   }
 
-  private cheapest(picks: readonly Pick[], query: PickQuery, isScouted: boolean): Pick | undefined {
+  private cheapest(
+    picks: readonly Pick[],
+    query: PickQuery,
+    leavesTrials: boolean,
+  ): Pick | undefined {
     return picks
-      .map((pick) => ({ pick, cost: this.cost.costOf(pick, query, isScouted) }))
+      .map((pick) => ({ pick, cost: this.cost.costOf(pick, query, leavesTrials) }))
       .reduce<{ pick: Pick; cost: number } | undefined>(
         (best, next) => (best === undefined || next.cost < best.cost ? next : best),
         undefined,
