--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -47,7 +47,8 @@
   readonly lostTargets: LostTargets;
   /** Learns the lengths of answers; if absent, they do not count in the choice of targets. */
   readonly answerSizes?: AnswerSizes;
-  readonly requestAdmission: RequestAdmission;
+  /** Admits requests under overload; undefined where they queue at the targets only. */
+  readonly requestAdmission: RequestAdmission | undefined;
   readonly quotas: { check: WorkspaceQuotas['check'] };
   readonly crashes: CrashTracker;
   readonly retryBudgetShares: RetryBudgetShares;
@@ -89,6 +90,8 @@
 
 const RETRY: Step = { kind: 'again' };
 
+const ADMITTED_AT_ONCE: AdmissionResult = { kind: 'admitted', needsFreeSlot: false };
+
 type ResultHandlers = {
   [Kind in AttemptResult['kind']]: (
     result: Extract<AttemptResult, { kind: Kind }>,
@@ -221,31 +224,33 @@
   }
 
   /**
-   * Has the request admitted under overload; the attempt starts anew afterwards. Without workspaces
-   * requests do not compete here: they queue at the targets.
+   * Has the request admitted under overload, and counts it against its quota; the attempt starts anew
+   * afterwards. Requests without workspaces do not compete here: they queue at the targets.
    */
   private async seekAdmission(): Promise<Step> {
-    if (!this.plan.needsAuthorization) {
-      this.admitted = { kind: 'admitted', needsFreeSlot: false };
-      return RETRY;
-    }
+    const result = await this.admit();
+    if (result.kind === 'refused') return this.conclude('overloaded', result.freeInMilliseconds);
+    if (result.kind !== 'admitted') return RETRY;
+    this.admitted = result;
+    const verdict = this.counts.claimQuota();
+    if (verdict.kind === 'free') return RETRY;
+    return this.conclude(verdict.kind, verdict.freeInMilliseconds);
+  }
+
+  private async admit(): Promise<AdmissionResult> {
+    const { requestAdmission, clock } = this.parts;
     const { exchange, route, service, priority, workspace, deadline } = this.plan;
-    const result = await this.parts.requestAdmission.admit({
+    const isContested = this.plan.needsAuthorization;
+    if (requestAdmission === undefined || !isContested) return ADMITTED_AT_ONCE;
+    return requestAdmission.admit({
       id: exchange.id,
       service,
       priority,
       workspace: workspace?.name,
-      objectiveMilliseconds:
-        route.objectiveMilliseconds - (this.parts.clock.now() - exchange.receivedAt),
+      objectiveMilliseconds: route.objectiveMilliseconds - (clock.now() - exchange.receivedAt),
       deadline,
       signal: exchange.signal,
     });
-    if (result.kind === 'refused') return this.conclude('overloaded', result.freeInMilliseconds);
-    if (result.kind !== 'admitted') return RETRY;
-    this.admitted = result;
-    const verdict = this.counts.claimQuota();
-    if (verdict.kind === 'free') return RETRY;
-    return this.conclude(verdict.kind, verdict.freeInMilliseconds);
   }
 
   private concludeUnplaced(
@@ -257,7 +262,7 @@
     const freeIn = picked.kind === 'backing-off' ? picked.freeInMilliseconds : undefined;
     const returnIn =
       picked.kind === 'full' && needsAuthorization
-        ? this.parts.requestAdmission.promiseReturn(service, deadline)
+        ? this.parts.requestAdmission?.promiseReturn(service, deadline)
         : freeIn;
     return this.conclude(UNPLACED_REASONS[picked.kind] ?? this.lastReason, returnIn);
   }
@@ -425,7 +430,7 @@
   private async settle(attempt: RunningAttempt): Promise<Step> {
     const result = await attempt.result;
     this.attemptsInProgress -= 1;
-    this.parts.requestAdmission.recheck(this.plan.service);
+    this.parts.requestAdmission?.recheck(this.plan.service);
     if (!isSuccessful(result)) this.log.recordFailure(attempt, result);
     const handle = this.resultHandlers[result.kind] as (
       result: AttemptResult,
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -36,6 +36,8 @@
   readonly quotaBounds: QuotaBounds;
   /** Share of a service's healthy targets that must stay in use, from 0 to 1. */
   readonly floorShare: number;
+  /** Whether requests of workspaces are admitted by priority and fairly when slots are taken. */
+  readonly hasAdmission: boolean;
   /** Hedged requests that operators accept per request of a service, from 0 (none) to 1. */
   readonly hedgeShare: number;
   /** Bytes of answers that may be held for callers that have not read them. */
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -212,7 +212,9 @@
     reachability: sharedState.reachability,
     relay: sharedState.relay,
     lostTargets: sharedState.lostTargets,
-    requestAdmission: buildRequestAdmission(options, sharedState),
+    requestAdmission: options.hasAdmission
+      ? buildRequestAdmission(options, sharedState)
+      : undefined,
     serviceTimes: sharedState.serviceTimes,
     failures: sharedState.failures,
     quotas: sharedState.quotas,
