--- a/review/lib/Platform.mjs
+++ b/review/lib/Platform.mjs
@@ -139,8 +139,9 @@
     this.store.put('keyed.servers', target.id, target.entry(state));
   }
 
-  /** The target's entry leaves the store, and it goes on serving. */
+  /** The target leaves: its entry is removed from the store, and it goes on serving. */
   unregister(target) {
+    Object.assign(target, { isLeaving: true });
     this.record.say(`store drops the entry of target ${target.id}`);
     this.store.put('keyed.servers', target.id, undefined);
   }
--- a/review/lib/Target.mjs
+++ b/review/lib/Target.mjs
@@ -20,6 +20,8 @@
     this.running = 0;
     this.queue = [];
     this.sequence = 0;
+    /** Whether it leaves, which it says in all its answers. */
+    this.isLeaving = false;
     /** Whether its answers have no end: the body comes in short pieces until the caller closes. */
     this.isEndless = false;
     this.born = Date.now();
@@ -47,6 +49,13 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
+  /** Ends as a crash does: all its connections are reset. */
+  crash() {
+    this.record.say(`target ${this.id} crashes`);
+    this.server.close();
+    this.sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
   /** What the target says of itself in the store. */
   entry(state = 'ready') {
     this.sequence += 1;
@@ -140,6 +149,7 @@
       'Attempt-Id': id,
       'Response-Signature': signatureOf(id, bytes),
       'Target-Load': this.load(),
+      ...(this.isLeaving ? { 'Server-Leaving': '1' } : {}),
     };
     if (query.get('length') === 'none') {
       response.useChunkedEncodingByDefault = false;
