--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -1,5 +1,5 @@
 /**
- * One of ten targets sends a body without end, in pieces of one byte. A daemon keeps each piece as an
+ * Two of ten targets of a service send a body without end, in pieces of one byte. A daemon keeps each piece as an
  * object of its own until they make up 1 MB, a million of them for each answer. It runs out of memory
  * and ends, and with it the requests of all its clients, whatever target they were at.
  */
@@ -13,6 +13,8 @@
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
 const TARGETS = 10;
+/** One in each zone. */
+const FAULTY_TARGETS = 2;
 const LOOK_CLIENTS = 16;
 const ORDER_CLIENTS = 16;
 const WORK_MILLISECONDS = 460;
@@ -78,16 +80,12 @@
     use(index < LOOK_CLIENTS ? 'look' : 'order', index, platform, record, () => isOver),
   );
   await sleep(1_000 * BEFORE_SECONDS);
-  const faulty = platform.targets.find(({ service }) => service === 'catalogue');
-  if (hasTrouble) {
-    record.say(`target ${faulty.id} sends answers without end`);
-    faulty.isEndless = true;
-  }
+  const faulty = platform.targets
+    .filter(({ service }) => service === 'catalogue')
+    .slice(0, FAULTY_TARGETS);
+  if (hasTrouble) setEndless(faulty, true, record);
   await sleep(1_000 * ENDLESS_SECONDS);
-  if (hasTrouble) {
-    record.say(`target ${faulty.id} is sound again`);
-    faulty.isEndless = false;
-  }
+  if (hasTrouble) setEndless(faulty, false, record);
   await sleep(1_000 * AFTER_SECONDS);
   isOver = true;
   const results = (await Promise.all(users)).flat();
@@ -99,7 +97,7 @@
     );
   });
   const runs = platform.targets
-    .filter((target) => target !== faulty)
+    .filter((target) => !faulty.includes(target))
     .flatMap((target) => target.runs);
   const lost = results.filter(({ id, ending, looksWhole, isKept }) => {
     const isCut = !looksWhole && ending.startsWith('connection');
@@ -115,6 +113,13 @@
   ];
 });
 
+function setEndless(targets, isEndless, record) {
+  targets.forEach((target) => {
+    record.say(`target ${target.id} ${isEndless ? 'sends answers without end' : 'is sound again'}`);
+    Object.assign(target, { isEndless });
+  });
+}
+
 /** Sends requests of one kind one after another, and says which came on a connection in use before. */
 async function use(kind, index, platform, record, isOver) {
   const daemon = platform.daemons[index % platform.daemons.length];
--- a/review/lib/runCase.mjs
+++ b/review/lib/runCase.mjs
@@ -1,8 +1,10 @@
-/** Runs one case: 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
+/** Runs one case. Its exit status tells `run.sh` whether the rule held, was broken or was not tried. */
 import Platform from './Platform.mjs';
 import Record from './Record.mjs';
 
 const MAXIMUM_MILLISECONDS = 115_000;
+/** Exit statuses; that of a broken rule is one that Node doesn't use itself. */
+const STATUS = { held: 0, broken: 10, notRun: 2 };
 
 /**
  * @param folder - folder of the case
@@ -19,17 +21,21 @@
     record.save();
     process.exit(status);
   };
+  process.on('uncaughtException', (error) => {
+    record.say(`the case could not run: ${error.stack}`);
+    finish(STATUS.notRun);
+  });
   setTimeout(() => {
     record.say('the case took too long');
-    finish(2);
+    finish(STATUS.notRun);
   }, MAXIMUM_MILLISECONDS).unref();
   try {
     const breaches = await play({ platform, record, hasTrouble });
     breaches.forEach((breach) => record.say(breach));
     record.say(breaches.length === 0 ? 'the rule held' : 'the rule was BROKEN');
-    finish(breaches.length === 0 ? 0 : 1);
+    finish(breaches.length === 0 ? STATUS.held : STATUS.broken);
   } catch (error) {
     record.say(`the case could not run: ${error.stack}`);
-    finish(2);
+    finish(STATUS.notRun);
   }
 }
