--- a/review/lib/Client.mjs
+++ b/review/lib/Client.mjs
@@ -32,7 +32,7 @@
     this.socket.removeAllListeners('error');
     this.isOpen = true;
     this.socket.on('error', (error) => this.close(error.code === 'ECONNRESET' ? 'reset' : 'error'));
-    this.socket.on('end', () => this.close('fin'));
+    this.socket.on('end', () => this.close(wasReset(this.socket) ? 'reset' : 'fin'));
     this.socket.on('close', () => this.close('fin'));
     if (this.bytesPerSecond === undefined) {
       this.socket.on('data', (bytes) => this.read(bytes));
@@ -156,6 +156,15 @@
   }
 }
 
+/**
+ * Whether a connection that has ended was reset. When bytes and a reset arrive together, Node reports
+ * the end of a stream in place of the reset; but a connection that was reset has no peer any more.
+ */
+function wasReset(socket) {
+  const { _handle: handle } = socket;
+  return handle !== null && handle.getpeername({}) !== 0;
+}
+
 function readHead(exchange, text) {
   const [first, ...lines] = text.split('\r\n');
   const fields = Object.fromEntries(
--- a/review/lib/Target.mjs
+++ b/review/lib/Target.mjs
@@ -24,6 +24,10 @@
     this.isLeaving = false;
     /** Whether its answers have no end: the body comes in short pieces until the caller closes. */
     this.isEndless = false;
+    /** Share of the answers without a length that break off: their connection is reset halfway. */
+    this.breakShare = 0;
+    /** Ids of the requests whose answers broke off. */
+    this.broken = new Set();
     this.born = Date.now();
     /** What happened to each request that reached the target, in the order of arrival. */
     this.runs = [];
@@ -156,11 +160,23 @@
       response.shouldKeepAlive = false;
       response.removeHeader('transfer-encoding');
       response.writeHead(200, { ...fields, Connection: 'close' });
+      if (Math.random() < this.breakShare) {
+        this.breakOff(id, response, bytes);
+        return;
+      }
     } else {
       response.writeHead(200, { ...fields, 'Content-Length': bytes });
     }
     writeBody(response, bytes);
   }
+
+  /** Sends half of the body and resets the connection, as a target does that fails meanwhile. */
+  breakOff(id, response, bytes) {
+    this.broken.add(id);
+    this.record.add(`target ${this.id} breaks off its answer to ${id}`);
+    const half = Buffer.alloc(Math.floor(bytes / 2), 'a');
+    response.write(half, () => response.socket?.resetAndDestroy());
+  }
 }
 
 /** The whole body that belongs to a signature, as the number of its bytes. */
