--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -15,16 +15,16 @@
   { name: 'edge-wcape-a-1', zone: 'wcape-a', region: 'wcape' },
   { name: 'edge-wcape-a-2', zone: 'wcape-a', region: 'wcape' },
 ];
-const TARGETS = 4;
-const CLIENTS = 16;
+const TARGETS = 5;
+const CLIENTS = 24;
 /** The longest answer of the sheet's site to a stock read. */
 const ANSWER_BYTES = 2_400;
 const WORK_MILLISECONDS = 60;
 const DEADLINE_MILLISECONDS = 6_000;
 const CALM_MILLISECONDS = 2_000;
-/** The dose: `garble` for 5 s, at half of the targets, with one answer in twenty. */
+/** The dose: `garble` for 5 s, at 0.6 of the targets, with one answer in twenty. */
 const TROUBLE_MILLISECONDS = 5_000;
-const FAULTY_SHARE = 0.5;
+const FAULTY_SHARE = 0.6;
 const BREAK_SHARE = 0.05;
 
 async function play({ platform, record, hasTrouble }) {
@@ -36,7 +36,7 @@
   await sleep(CALM_MILLISECONDS);
   const faulty = platform.targets.slice(0, TARGETS * FAULTY_SHARE);
   if (hasTrouble) {
-    record.say('half of the targets break off one answer in twenty');
+    record.say('three targets break off one answer in twenty');
     faulty.forEach((target) => Object.assign(target, { breakShare: BREAK_SHARE }));
   }
   await sleep(TROUBLE_MILLISECONDS);
