--- a/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 import { PassThrough } from 'node:stream';
-import { Counters, createRandom, systemClock } from '@cactusrun/core';
+import { Counters, createRandom, silentLogger, systemClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
 import CallerServer from '../../callers/CallerServer.js';
@@ -44,6 +44,7 @@
       clock: systemClock,
       random: createRandom(1),
       counters: new Counters(),
+      logger: silentLogger,
       limits: () => LIMITS,
       canOverlap: ({ method }) => method === 'GET',
       handle: (exchange) => hold(exchange),
--- a/packages/gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
-import { Counters, createRandom, systemClock } from '@cactusrun/core';
+import type { LogFields } from '@cactusrun/core';
+import { Counters, createRandom, silentLogger, systemClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
 import CallerServer from '../../callers/CallerServer.js';
@@ -31,10 +32,12 @@
   let handle: (received: CallerExchange) => Promise<CallerOutcome>;
   let sockets: Socket[];
   let heldAnswers: HeldAnswers;
+  let warnings: LogFields[];
 
   beforeEach(async () => {
     exchanges = [];
     sockets = [];
+    warnings = [];
     handle = async () => createAnswer();
     heldAnswers = new HeldAnswers(HELD_BYTES);
     server = new CallerServer({
@@ -48,6 +51,7 @@
       clock: systemClock,
       random: createRandom(1),
       counters: new Counters(),
+      logger: { ...silentLogger, warn: (event, fields) => warnings.push({ event, ...fields }) },
       limits: () => LIMITS,
       heldAnswers,
       canOverlap: (received) => received.method === 'GET',
@@ -113,6 +117,18 @@
     });
   });
 
+  describe('a request whose handling fails', () => {
+    it('is logged with its identity and the cause', async () => {
+      handle = async () => {
+        throw new Error('no such port');
+      };
+      await exchange(request(), never);
+      expect(warnings).toEqual([
+        { event: 'request-cut', request: 'a-1', reason: 'handling-failed', cause: 'no such port' },
+      ]);
+    });
+  });
+
   describe('an answer that its caller does not read', () => {
     beforeEach(() => {
       handle = async () => createAnswer({ bodyStart: Buffer.alloc(LARGE_BYTES) });
--- a/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
@@ -92,6 +92,7 @@
       clock,
       random: createRandom(1),
       counters: new Counters(),
+      logger: silentLogger,
       limits: () => LIMITS,
       canOverlap: () => false,
       handle: (exchange) => {
--- a/packages/gateway/src/callers/AnswerWriter.ts
+++ b/packages/gateway/src/callers/AnswerWriter.ts
@@ -27,7 +27,7 @@
     response: ServerResponse,
     answer: TargetAnswer,
     closes: boolean,
-    onCut: () => void,
+    onCut: (error: Error) => void,
   ): void {
     const { bodyStart, bodyRest } = answer;
     const hasKnownLength = bodyRest === undefined && answer.isFramed;
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -3,8 +3,8 @@
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
 import { Server as ConnectionServer } from 'node:net';
-import type { Clock, Counters, Random } from '@cactusrun/core';
-import { CactusrunError } from '@cactusrun/core';
+import type { Clock, Counters, Logger, Random } from '@cactusrun/core';
+import { CactusrunError, describeError } from '@cactusrun/core';
 import { endToEndHeaders, listHeaders, refuseMalformed } from '@cactusrun/requests';
 import type { TargetAnswer } from '../connections/TargetAttempt.js';
 import type { CallerLimits } from '../state/GatewayConfiguration.js';
@@ -42,6 +42,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
+  readonly logger: Logger;
   readonly limits: () => CallerLimits | undefined;
   /** Whether the request is idempotent, so that it may run beside others of its connection. */
   readonly canOverlap: (exchange: CallerExchange) => boolean;
@@ -50,6 +51,9 @@
   readonly heldAnswers?: HeldAnswers;
 }
 
+/** Why a connection ends before the answer to its request does. */
+type CutReason = 'handling-failed' | 'answer-broke-off' | 'read-too-slowly';
+
 /** One request on its way: the connection that it came on, and the response to write. */
 interface Incoming {
   readonly connection: CallerConnection;
@@ -133,7 +137,10 @@
     const connection = this.connectionOf(request.socket);
     const incoming = { connection, request: connection.add(() => request.complete), response };
     response.on('finish', () => connection.finish(incoming.request));
-    this.serve(request, incoming).catch(() => connection.cut(incoming.request));
+    this.serve(request, incoming).catch((error: unknown) => {
+      this.recordCut(incoming, 'handling-failed', error);
+      connection.cut(incoming.request);
+    });
   }
 
   private connectionOf(socket: Socket): CallerConnection {
@@ -233,15 +240,19 @@
     if (!answer.isFramed) connection.startNoMore();
     const closes = this.closesWith(incoming) || !answer.isFramed;
     this.holdAnswer(incoming, answer);
-    AnswerWriter.writeAnswer(response, answer, closes, () => connection.cut(request));
+    AnswerWriter.writeAnswer(response, answer, closes, (error) => {
+      this.recordCut(incoming, 'answer-broke-off', error);
+      connection.cut(request);
+    });
   }
 
   /** Counts an answer until its caller has taken it; the connection is cut if it takes too long. */
-  private holdAnswer({ response }: Incoming, { bodyStart }: TargetAnswer): void {
-    const { heldAnswers, counters } = this.options;
+  private holdAnswer(incoming: Incoming, { bodyStart }: TargetAnswer): void {
+    const { heldAnswers } = this.options;
+    const { response } = incoming;
     if (heldAnswers === undefined) return;
     const cut = () => {
-      counters.add('callers', 'read-too-slowly');
+      this.recordCut(incoming, 'read-too-slowly');
       response.req.socket.resetAndDestroy();
     };
     response.once('close', heldAnswers.hold({ bytes: bodyStart.length, cut }));
@@ -262,6 +273,16 @@
     return [...encodeRefusal(refused), attemptId, String(id ?? '')];
   }
 
+  /** Logs that a caller gets no complete answer although its connection has not ended. */
+  private recordCut({ response, request }: Incoming, reason: CutReason, error?: unknown): void {
+    const { counters, logger, names } = this.options;
+    counters.add('callers', reason);
+    if (request.signal.aborted) return;
+    const id = response.req.headers[names.attemptId.toLowerCase()];
+    const cause = error === undefined ? undefined : describeError(error);
+    logger.warn('request-cut', { request: String(id ?? ''), reason, cause });
+  }
+
   private closesWith({ connection, request, response }: Incoming): boolean {
     return connection.closesWith(request, this.isDraining || !response.req.complete);
   }
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -273,6 +273,7 @@
     clock: options.clock,
     random: options.random,
     counters: options.counters,
+    logger: options.logger,
     heldAnswers,
     limits: () => state.configuration?.limits,
     canOverlap: ({ host, path }) => {
