Treat an address that cannot be connected to as an unreachable target

Cause: the entry's address was checked by its shape only. net.connect throws on port 70000; the exception ended the handling of each request that picked the target, and its connection. The count of requests at that target was never lowered, so that each daemon soon avoided it.

--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -70,8 +70,13 @@
     change: Partial<OutgoingRequest> = {},
     signal?: AbortSignal,
   ): Promise<AttemptResult> {
+    const request = createRequest(change);
+    return connections.send(entry(), request, signal ?? new AbortController().signal);
+  }
+
+  function createRequest(change: Partial<OutgoingRequest> = {}): OutgoingRequest {
     nextId += 1;
-    const request: OutgoingRequest = {
+    return {
       id: `attempt-${nextId}`,
       method: 'POST',
       path: '/p/a?b=c',
@@ -83,13 +88,23 @@
       deadline: systemClock.now() + 5_000,
       ...change,
     };
-    return connections.send(entry(), request, signal ?? new AbortController().signal);
   }
 
   function bodyOf(result: AttemptResult): string | undefined {
     return result.kind === 'answered' ? result.answer.bodyStart.toString() : undefined;
   }
 
+  describe('an address that cannot be connected to', () => {
+    it.each(['127.0.0.1:70000', '127.0.0.1:-1', '127.0.0.1:port', 'none', ''])(
+      '%j leaves the request unsent',
+      async (address) => {
+        const target = createTargetEntry('target-1', { address });
+        const result = connections.send(target, createRequest(), new AbortController().signal);
+        expect(await result).toMatchObject({ kind: 'not-sent' });
+      },
+    );
+  });
+
   describe('a complete answer', () => {
     it('is returned with its body, and the connection carries the next request', async () => {
       script = (socket, attempt) => socket.write(`${head(attempt, 2)}ok`);
--- a/packages/gateway/src/connections/TargetConnections.ts
+++ b/packages/gateway/src/connections/TargetConnections.ts
@@ -3,7 +3,7 @@
 import type { Clock, Counters } from '@cactusrun/core';
 import type { TargetEntry } from '../state/TargetEntry.js';
 import type { OpenConnection } from './openConnection.js';
-import { CONNECT_TIMEOUT_MILLISECONDS } from './openConnection.js';
+import { CONNECT_TIMEOUT_MILLISECONDS, openAddress } from './openConnection.js';
 import type { IdleConnection } from './IdleConnections.js';
 import IdleConnections from './IdleConnections.js';
 import type IdleReuse from './IdleReuse.js';
@@ -87,9 +87,8 @@
     target: ConnectionTarget,
     signal: AbortSignal,
   ): Promise<Socket | Extract<AttemptResult, { kind: 'not-sent' | 'cancelled' }>> {
-    const [host, port] = target.address.split(':');
     return new Promise((resolve) => {
-      const socket = this.openConnection(host ?? '', Number(port));
+      const socket = openAddress(this.openConnection, target.address);
       let cancelTimer = () => {};
       const end = (result: Extract<AttemptResult, { kind: 'not-sent' | 'cancelled' }>) => {
         cancelTimer();
--- a/packages/gateway/src/reachability/probeTarget.ts
+++ b/packages/gateway/src/reachability/probeTarget.ts
@@ -1,7 +1,7 @@
 /** Tests whether a connection to a target can be established; nothing is sent on it. */
 import type { Clock } from '@cactusrun/core';
 import type { OpenConnection } from '../connections/openConnection.js';
-import { CONNECT_TIMEOUT_MILLISECONDS } from '../connections/openConnection.js';
+import { CONNECT_TIMEOUT_MILLISECONDS, openAddress } from '../connections/openConnection.js';
 
 /** @param address - `ip:port` of the target */
 export default function probeTarget(
@@ -9,9 +9,8 @@
   openConnection: OpenConnection,
   clock: Clock,
 ): Promise<boolean> {
-  const [host, port] = address.split(':');
   return new Promise((resolve) => {
-    const socket = openConnection(host ?? '', Number(port));
+    const socket = openAddress(openConnection, address);
     let cancelTimer = () => {};
     const settle = (isReached: boolean) => {
       cancelTimer();
