Let tasks of a daemon outlive a step that failed

A check of reachability that failed left the check marked as under way, so that a daemon cut off from its targets would never find out; heartbeats, the tries of lost targets, the followers of registry and configuration and the use of workspaces ended likewise. Change: these tasks log a failed step (task-failed) and go on after a second.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export { isOutcomeReason, OUTCOME_RULES } from './Outcome.js';
 export { default as parseAddress } from './parseAddress.js';
 export { createRandom, pickOne, shuffle } from './Random.js';
+export { startRepeatedTask } from './RepeatedTask.js';
 export { inSequence, mergeStops, repeatUntilAborted, startTask } from './Task.js';
 export { default as Timing } from './Timing.js';
 export { floorOf } from './DomainTypes.js';
@@ -19,6 +20,7 @@
 export type { OutcomeKind, OutcomeReason, OutcomeRule, RetryAdvice } from './Outcome.js';
 export type { SocketAddress } from './parseAddress.js';
 export type { Random } from './Random.js';
+export type { RepeatedTask } from './RepeatedTask.js';
 export type { Stop } from './Task.js';
 export type { TimingSummary } from './Timing.js';
 export type {
--- a/packages/gateway/src/__tests__/unit/Heartbeat.test.ts
+++ b/packages/gateway/src/__tests__/unit/Heartbeat.test.ts
@@ -73,6 +73,7 @@
       seeds: [],
       clock,
       random: createRandom(1),
+      logger: silentLogger,
     });
     await advanceWithLiveMembers(known);
   }
--- a/packages/gateway/src/__tests__/unit/TargetReachability.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetReachability.test.ts
@@ -56,6 +56,28 @@
     reachability.confirmFailure('answer', () => applied.push(name));
   }
 
+  describe('a check that fails', () => {
+    it('does not keep the daemon from finding later that it is cut off', async () => {
+      let isFailing = true;
+      const list = () => {
+        if (isFailing) throw new Error('unusable entry');
+        return targets;
+      };
+      reachability = createReachability(clock, {
+        targets: { list },
+        openConnection: refuseAtOnce,
+        isEntry: () => true,
+      });
+      const stop = reachability.start();
+      await clock.advance(0);
+      isFailing = false;
+      failRequest();
+      await clock.advance(5_000);
+      expect(reachability.isCutOff).toBe(true);
+      await stop();
+    });
+  });
+
   describe.each([
     ['hang', connectNever],
     ['are refused', refuseAtOnce],
--- a/packages/gateway/src/fleet/Heartbeat.ts
+++ b/packages/gateway/src/fleet/Heartbeat.ts
@@ -2,8 +2,8 @@
  * Announces to the members of the region that this daemon is alive, which versions it has and which
  * requests it has outstanding, and probes members that should have been heard.
  */
-import type { Clock, Random, Stop } from '@cactusrun/core';
-import { repeatUntilAborted, shuffle, startTask } from '@cactusrun/core';
+import type { Clock, Logger, Random, Stop } from '@cactusrun/core';
+import { shuffle, startRepeatedTask } from '@cactusrun/core';
 import type EntryDirectory from './EntryDirectory.js';
 import type FleetMembers from './FleetMembers.js';
 import { HEARTBEAT_INTERVAL_MILLISECONDS } from './FleetMembers.js';
@@ -41,6 +41,7 @@
   readonly seeds: readonly string[];
   readonly clock: Clock;
   readonly random: Random;
+  readonly logger: Logger;
 }
 
 class Heartbeat {
@@ -114,8 +115,7 @@
 /** Sends heartbeats until the returned function is called. */
 export function startHeartbeat(parts: HeartbeatParts): Stop {
   const heartbeat = new Heartbeat(parts);
-  return startTask(
-    (signal) => repeatUntilAborted(signal, () => heartbeat.step(signal)),
-    () => {},
-  );
+  const { clock, logger } = parts;
+  const step = (signal: AbortSignal) => heartbeat.step(signal);
+  return startRepeatedTask({ name: 'heartbeat', step, clock, logger });
 }
--- a/packages/gateway/src/limits/RegionUseExchange.ts
+++ b/packages/gateway/src/limits/RegionUseExchange.ts
@@ -3,8 +3,8 @@
  * entry of each region reports to the one that reports for the other region, which passes it on to the
  * entries of its own.
  */
-import type { Clock, Random, Stop } from '@cactusrun/core';
-import { repeatUntilAborted, shuffle, startTask } from '@cactusrun/core';
+import type { Clock, Logger, Random, Stop } from '@cactusrun/core';
+import { shuffle, startRepeatedTask } from '@cactusrun/core';
 import type EntryDirectory from '../fleet/EntryDirectory.js';
 import type FleetMembers from '../fleet/FleetMembers.js';
 import type { PeerSender } from '../fleet/PeerLink.js';
@@ -46,6 +46,7 @@
   readonly reportToPeers: () => void;
   readonly clock: Clock;
   readonly random: Random;
+  readonly logger: Logger;
 }
 
 export default class RegionUseExchange {
@@ -72,14 +73,12 @@
 
   /** Reports what is due, until the returned function is called. */
   public start(): Stop {
-    return startTask(
-      (signal) =>
-        repeatUntilAborted(signal, async () => {
-          this.step();
-          await this.parts.clock.sleep(STEP_MILLISECONDS, signal);
-        }),
-      () => {},
-    );
+    const { clock, logger } = this.parts;
+    const step = async (signal: AbortSignal) => {
+      this.step();
+      await clock.sleep(STEP_MILLISECONDS, signal);
+    };
+    return startRepeatedTask({ name: 'use of workspaces', step, clock, logger });
   }
 
   private step(): void {
--- a/packages/gateway/src/reachability/LostTargets.ts
+++ b/packages/gateway/src/reachability/LostTargets.ts
@@ -5,7 +5,7 @@
  * could not reach them either.
  */
 import type { Clock, Counters, Logger, Stop } from '@cactusrun/core';
-import { repeatUntilAborted, startTask } from '@cactusrun/core';
+import { startRepeatedTask } from '@cactusrun/core';
 import type { TargetEntry } from '../state/TargetEntry.js';
 
 /** Share of a service's targets from which it counts as lost. */
@@ -77,14 +77,12 @@
 
   /** Tries lost targets in intervals until the returned function is called. */
   public start(): Stop {
-    return startTask(
-      (signal) =>
-        repeatUntilAborted(signal, async () => {
-          await this.parts.clock.sleep(TRY_INTERVAL_MILLISECONDS, signal);
-          await this.tryLost();
-        }),
-      () => {},
-    );
+    const { clock, logger } = this.parts;
+    const step = async (signal: AbortSignal) => {
+      await clock.sleep(TRY_INTERVAL_MILLISECONDS, signal);
+      await this.tryLost();
+    };
+    return startRepeatedTask({ name: 'lost targets', step, clock, logger });
   }
 
   /** Tries one target of each service that has lost ones, the one that failed longest ago. */
--- a/packages/gateway/src/reachability/TargetReachability.ts
+++ b/packages/gateway/src/reachability/TargetReachability.ts
@@ -9,7 +9,7 @@
  * off.
  */
 import type { Clock, Counters, Logger, Random, Stop } from '@cactusrun/core';
-import { repeatUntilAborted, shuffle, startTask } from '@cactusrun/core';
+import { describeError, shuffle, startRepeatedTask } from '@cactusrun/core';
 import type { OpenConnection } from '../connections/openConnection.js';
 import type { TargetEntry } from '../state/TargetEntry.js';
 import pickSpread from './pickSpread.js';
@@ -132,42 +132,46 @@
    * it. The returned function ends that.
    */
   public start(): Stop {
-    const { clock, isEntry } = this.parts;
+    const { clock, isEntry, logger } = this.parts;
     let wasEntry = false;
-    return startTask(
-      (signal) =>
-        repeatUntilAborted(signal, async () => {
-          const hasBecomeEntry = isEntry() && !wasEntry;
-          wasEntry = isEntry();
-          if (hasBecomeEntry || this.isUnreachable) await this.check();
-          const pause = this.isUnreachable
-            ? CHECK_INTERVAL_MILLISECONDS
-            : ENTRY_INTERVAL_MILLISECONDS;
-          await clock.sleep(pause, signal);
-        }),
-      () => {},
-    );
+    const step = async (signal: AbortSignal) => {
+      const hasBecomeEntry = isEntry() && !wasEntry;
+      wasEntry = isEntry();
+      if (hasBecomeEntry || this.isUnreachable) await this.check();
+      const pause = this.isUnreachable ? CHECK_INTERVAL_MILLISECONDS : ENTRY_INTERVAL_MILLISECONDS;
+      await clock.sleep(pause, signal);
+    };
+    return startRepeatedTask({ name: 'target reachability', step, clock, logger });
   }
 
   private doubt(): void {
     const { clock } = this.parts;
     const hasCheckedLately = clock.now() - this.lastCheckAt < DOUBT_PAUSE_MILLISECONDS;
     if (this.isChecking || hasCheckedLately) return;
-    this.check().catch(() => {});
+    this.check().catch((error: unknown) => {
+      this.parts.logger.warn('reachability-check-failed', { cause: describeError(error) });
+    });
   }
 
   /** Tries one target, and several others if it is not reached. */
   private async check(): Promise<void> {
     if (this.isChecking) return;
     this.isChecking = true;
-    const { targets, random, clock, counters } = this.parts;
-    counters.add('reachability', 'checked');
+    this.parts.counters.add('reachability', 'checked');
+    try {
+      if (!(await this.reachesTargets())) this.setCutOff(true);
+    } finally {
+      this.isChecking = false;
+      this.lastCheckAt = this.parts.clock.now();
+    }
+  }
+
+  private async reachesTargets(): Promise<boolean> {
+    const { targets, random } = this.parts;
     const [first, ...others] = pickSpread(shuffle(random, targets.list()), CONFIRMING_TARGETS + 1);
-    const isReached = first === undefined || (await this.probe(first));
-    const areReached = isReached ? [true] : await Promise.all(others.map((one) => this.probe(one)));
-    this.isChecking = false;
-    this.lastCheckAt = clock.now();
-    if (!areReached.includes(true)) this.setCutOff(true);
+    if (first === undefined || (await this.probe(first))) return true;
+    const areReached = await Promise.all(others.map((one) => this.probe(one)));
+    return areReached.includes(true);
   }
 
   private probe({ address }: TargetEntry): Promise<boolean> {
--- a/packages/gateway/src/state/StateFollower.ts
+++ b/packages/gateway/src/state/StateFollower.ts
@@ -4,7 +4,7 @@
  * update has arrived for a while, one after another in order of rank.
  */
 import type { Clock, Random, Stop } from '@cactusrun/core';
-import { describeError, mergeStops, repeatUntilAborted, startTask } from '@cactusrun/core';
+import { mergeStops, startRepeatedTask } from '@cactusrun/core';
 import ConfigurationReader from './ConfigurationReader.js';
 import type { GatewayStore } from './GatewayStore.js';
 import type { PeerSender } from '../fleet/PeerLink.js';
@@ -75,13 +75,19 @@
     const { logger, clock, random, isFleetStart } = this.parts;
     const spread = isFleetStart ? FIRST_READ_SPREAD_MILLISECONDS : 0;
     this.firstReadAt = clock.now() + spread * random.unit();
-    const fail = (error: unknown) => logger.warn('follower-ended', { cause: describeError(error) });
     return mergeStops([
-      startTask((signal) => repeatUntilAborted(signal, () => this.followTargets(signal)), fail),
-      startTask(
-        (signal) => repeatUntilAborted(signal, () => this.followConfiguration(signal)),
-        fail,
-      ),
+      startRepeatedTask({
+        name: 'registry follower',
+        step: (signal) => this.followTargets(signal),
+        clock,
+        logger,
+      }),
+      startRepeatedTask({
+        name: 'configuration follower',
+        step: (signal) => this.followConfiguration(signal),
+        clock,
+        logger,
+      }),
     ]);
   }
 
--- a/packages/gateway/src/wiring/wireGateway.ts
+++ b/packages/gateway/src/wiring/wireGateway.ts
@@ -104,6 +104,7 @@
     link,
     clock,
     random,
+    logger,
   });
   const follower = new StateFollower({
     store: options.store,
@@ -156,6 +157,7 @@
     members,
     directory,
     link,
+    logger,
     seeds: options.seeds.filter((seed) => seed !== peerAddress),
     clock,
     random,
