A stopping daemon passes nothing on that it would cut at its target

Cause: finishDraining stopped listening, but `serve` went on taking requests from the open connections until the end, however little time was left. Requests that waited in a queue or behind others were treated alike, and a cut request left only a count in the log.

Execution asks `CallerExchange.passOn` before the first byte can go out, and the same call marks the request, so that a refusal and a send exclude each other. Idle connections stay open while others are in flight. A peer that stops refuses relayed requests likewise, and another peer is asked. Requests that are cut all the same are logged one by one (`request-cut`, 50 lines at most) with age and stage.

The state of one request of a connection is now a class of its own, PendingRequest.

--- a/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
@@ -118,6 +118,7 @@
       receivedAt: clock.now(),
       relayed: undefined,
       signal: new AbortController().signal,
+      passOn: () => true,
       isFollowed: () => false,
       ...change,
     };
@@ -233,6 +234,14 @@
       expect(received.at(-1)?.port).toBe(PORTS.second);
     });
 
+    it('since it is stopping leads to another peer', async () => {
+      peers = [PORTS.first, PORTS.second].map(describePeer);
+      handlers.set(PORTS.first, async () => refuse('stopping'));
+      const results = [await relay.send(createRequest()), await relay.send(createRequest())];
+      expect(results.map(({ kind }) => kind)).toEqual(['answered', 'answered']);
+      expect(received.map(({ port }) => port)).toContain(PORTS.first);
+    });
+
     it('of all peers leaves the request unsent', async () => {
       handlers.set(PORTS.first, async () => refuse('unreachable'));
       expect(await relay.send(createRequest())).toEqual({ kind: 'no-peer' });
--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -183,6 +183,7 @@
       receivedAt: this.clock.now(),
       relayed: undefined,
       signal: new AbortController().signal,
+      passOn: () => true,
       isFollowed: () => false,
       ...change,
     };
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -97,6 +97,22 @@
     });
   });
 
+  describe('requests of a daemon that stops', () => {
+    it('are refused while they have not been passed on', async () => {
+      const exchange = fixture.createExchange('idempotent', { passOn: () => false });
+      expect(describeOutcome(await fixture.handle(exchange))).toBe('stopping');
+      expect(fixture.sent).toHaveLength(0);
+    });
+
+    it('are marked as passed on before a target gets them', async () => {
+      const sentBefore: number[] = [];
+      const passOn = () => sentBefore.push(fixture.sent.length) > 0;
+      await fixture.handle(fixture.createExchange('idempotent', { passOn }));
+      expect(sentBefore).toEqual([0]);
+      expect(fixture.sent).toHaveLength(1);
+    });
+  });
+
   describe('requests that arrive while the daemon starts', () => {
     beforeEach(() => {
       fixture = new ProxyFixture({ hasState: false });
--- a/packages/gateway/src/callers/CallerConnection.ts
+++ b/packages/gateway/src/callers/CallerConnection.ts
@@ -7,6 +7,8 @@
  * starts behind an answer that closes the connection.
  */
 import type { Socket } from 'node:net';
+import type { RequestHead, Turn } from './PendingRequest.js';
+import PendingRequest from './PendingRequest.js';
 
 /** Idempotent requests of one connection that are executed at the same time. */
 const MAXIMUM_OVERLAPPING_REQUESTS = 4;
@@ -15,27 +17,6 @@
 /** Reading stops while the bodies of these requests hold this many bytes. */
 const MAXIMUM_UNANSWERED_BYTES = 1_048_576;
 
-type RequestState = 'reading' | 'waiting' | 'started';
-
-/** One request of the connection, from its head to the end of its answer. */
-export interface ConnectionRequest {
-  /** Aborted when the connection ends before the answer does. */
-  readonly signal: AbortSignal;
-}
-
-interface PendingRequest extends ConnectionRequest {
-  readonly controller: AbortController;
-  /** Whether the request has arrived whole. */
-  readonly isComplete: () => boolean;
-  state: RequestState;
-  canOverlap: boolean;
-  bodyBytes: number;
-  /** Resolves the wait for its turn. */
-  start: (hasTurn: boolean) => void;
-  /** Resolves the wait until it is the first. */
-  lead: () => void;
-}
-
 export default class CallerConnection {
   /** Unanswered requests in the order of their arrival. */
   private requests: readonly PendingRequest[] = [];
@@ -48,6 +29,9 @@
 
   private hasStoppedReading = false;
 
+  /** Whether the daemon stops, so that requests are refused which have not been passed on. */
+  private isRefusing = false;
+
   /** @param onAnswered - called whenever requests have left, answered or cut off */
   constructor(
     private readonly socket: Socket,
@@ -63,61 +47,49 @@
 
   /** Whether a request that was read whole has no answer yet. */
   public get owesAnswers(): boolean {
-    return this.requests.some(({ isComplete }) => isComplete());
+    return this.requests.some(({ head }) => head.isComplete());
   }
 
-  /**
-   * Adds a request whose head has been read.
-   *
-   * @param isComplete - whether the request has arrived whole
-   */
-  public add(isComplete: () => boolean): ConnectionRequest {
-    const controller = new AbortController();
-    const request: PendingRequest = {
-      controller,
-      signal: controller.signal,
-      isComplete,
-      state: 'reading',
-      canOverlap: false,
-      bodyBytes: 0,
-      start: () => {},
-      lead: () => {},
-    };
+  /** Unanswered requests in the order of their arrival. */
+  public get unanswered(): readonly PendingRequest[] {
+    return this.requests;
+  }
+
+  /** Adds a request whose head has been read. */
+  public add(head: RequestHead): PendingRequest {
+    const request = new PendingRequest(head);
     this.requests = [...this.requests, request];
     return request;
   }
 
   /**
-   * Waits until a request that has been read whole may be executed.
+   * Waits for the turn of a request that has been read whole.
    *
    * @param canOverlap - whether it may run beside others and be lost: it is idempotent
-   * @returns false when it must not be executed, because the connection closes before its answer
    */
   public async awaitTurn(
-    { signal }: ConnectionRequest,
+    request: PendingRequest,
     canOverlap: boolean,
     bodyBytes: number,
-  ): Promise<boolean> {
-    const request = this.find(signal);
-    if (request === undefined) return false;
-    request.state = 'waiting';
-    request.canOverlap = canOverlap;
-    request.bodyBytes = bodyBytes;
-    const turn = new Promise<boolean>((resolve) => {
-      request.start = resolve;
-    });
+  ): Promise<Turn> {
+    if (!this.requests.includes(request)) return 'drop';
+    const turn = request.awaitTurn(canOverlap, bodyBytes);
     this.startWaiting();
     this.limitReading();
     return turn;
   }
 
+  /** From now on refuses what has been read and not been passed on to a target or a peer. */
+  public refuseUnsent(): void {
+    this.isRefusing = true;
+    this.requests.forEach((request) => request.refuseUnsent());
+    this.startWaiting();
+  }
+
   /** Waits until all earlier answers have been written, or the connection has ended. */
-  public async awaitLead({ signal }: ConnectionRequest): Promise<void> {
-    const request = this.find(signal);
-    if (request === undefined || request === this.requests[0]) return;
-    await new Promise<void>((resolve) => {
-      request.lead = resolve;
-    });
+  public async awaitLead(request: PendingRequest): Promise<void> {
+    if (!this.requests.includes(request) || request === this.requests[0]) return;
+    await request.awaitLead();
   }
 
   /**
@@ -126,18 +98,17 @@
    *
    * @param wantsClose - whether the connection should end as soon as possible
    */
-  public closesWith({ signal }: ConnectionRequest, wantsClose: boolean): boolean {
-    const request = this.find(signal);
-    if (request !== undefined) request.state = 'started';
+  public closesWith(request: PendingRequest, wantsClose: boolean): boolean {
+    request.beginAnswer();
     const isLast = this.hasEnded && request === this.requests.at(-1);
-    if (this.isFollowed({ signal }) || !(wantsClose || isLast || this.isClosing)) return false;
+    if (this.isFollowed(request) || !(wantsClose || isLast || this.isClosing)) return false;
     this.isClosing = true;
     return true;
   }
 
   /** Whether a later request of the connection is being executed. */
-  public isFollowed({ signal }: ConnectionRequest): boolean {
-    const position = this.requests.findIndex((request) => request.signal === signal);
+  public isFollowed(request: PendingRequest): boolean {
+    const position = this.requests.indexOf(request);
     return this.requests.slice(position + 1).some(({ state }) => state === 'started');
   }
 
@@ -149,13 +120,13 @@
   /** Reads no further request; the connection ends after the answers to those that are whole. */
   public endReading(): void {
     this.hasEnded = true;
-    this.requests = this.requests.filter(({ isComplete }) => isComplete());
+    this.requests = this.requests.filter(({ head }) => head.isComplete());
     this.closeWhenAnswered();
   }
 
   /** Removes a request whose answer has been written, and starts those that waited for it. */
-  public finish({ signal }: ConnectionRequest): void {
-    this.requests = this.requests.filter((request) => request.signal !== signal);
+  public finish(finished: PendingRequest): void {
+    this.requests = this.requests.filter((request) => request !== finished);
     this.requests[0]?.lead();
     this.startWaiting();
     this.limitReading();
@@ -168,10 +139,10 @@
    * an answer without a length would look whole if its connection ended in the ordinary way.
    * Answers before it are written first.
    */
-  public cut({ signal }: ConnectionRequest): void {
+  public cut(request: PendingRequest): void {
     this.isClosing = true;
-    if (this.requests[0]?.signal === signal) this.socket.resetAndDestroy();
-    else this.finish({ signal });
+    if (this.requests[0] === request) this.socket.resetAndDestroy();
+    else this.finish(request);
   }
 
   private closeWhenAnswered(): void {
@@ -182,17 +153,12 @@
     if (owed.length === 0) this.socket.destroySoon();
   }
 
-  private find(signal: AbortSignal): PendingRequest | undefined {
-    return this.requests.find((request) => request.signal === signal);
-  }
-
   private startWaiting(): void {
     if (this.isClosing) return;
     this.requests.forEach((request, position) => {
-      const earlier = this.requests.slice(0, position);
-      if (request.state !== 'waiting' || !mayStart(request, earlier)) return;
-      request.state = 'started';
-      request.start(true);
+      if (request.state !== 'waiting') return;
+      if (this.isRefusing) request.start('refuse');
+      else if (mayStart(request, this.requests.slice(0, position))) request.start('execute');
     });
   }
 
@@ -212,11 +178,7 @@
     const aborted = this.requests;
     this.requests = [];
     this.isClosing = true;
-    aborted.forEach(({ controller, start, lead }) => {
-      controller.abort();
-      start(false);
-      lead();
-    });
+    aborted.forEach((request) => request.abort());
     this.onAnswered();
   }
 }
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -17,8 +17,14 @@
   readonly receivedAt: number;
   /** Set when a peer, which is cut off from all targets, relays a request of its caller. */
   readonly relayed: RelayStatement | undefined;
-  /** Aborted when the caller disconnects. */
+  /** Aborted when the caller disconnects, or before it is passed on because the daemon stops. */
   readonly signal: AbortSignal;
+  /**
+   * To be called before it is passed on to a target or a peer.
+   *
+   * @returns false if it must not be, since the daemon stops
+   */
+  readonly passOn: () => boolean;
   /**
    * Whether later requests of its connection are being executed, which an answer that closes the
    * connection would cut off.
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -9,10 +9,10 @@
 import type { TargetAnswer } from '../connections/TargetAttempt.js';
 import type { CallerLimits } from '../state/GatewayConfiguration.js';
 import AnswerWriter from './AnswerWriter.js';
-import type { ConnectionRequest } from './CallerConnection.js';
 import CallerConnection from './CallerConnection.js';
 import type { CallerExchange, CallerOutcome, Refused } from './CallerExchange.js';
 import type HeldAnswers from './HeldAnswers.js';
+import type PendingRequest from './PendingRequest.js';
 import readRequestBody from './readRequestBody.js';
 import { decodeStatement, encodeRefusal, isRelayField } from '../relay/RelayField.js';
 
@@ -53,7 +53,7 @@
 /** One request on its way: the connection that it came on, and the response to write. */
 interface Incoming {
   readonly connection: CallerConnection;
-  readonly request: ConnectionRequest;
+  readonly request: PendingRequest;
   readonly response: ServerResponse;
 }
 
@@ -66,6 +66,9 @@
 
   private isDraining = false;
 
+  /** Whether nothing new is passed on any more. */
+  private isRefusing = false;
+
   private onIdle: (() => void) | undefined;
 
   constructor(private readonly options: CallerServerOptions) {
@@ -107,8 +110,13 @@
     this.isDraining = true;
   }
 
-  /** Stops accepting connections and waits for the requests in flight. */
+  /**
+   * Stops accepting connections and waits for the requests in flight. What has been read and not been
+   * passed on is refused, also what arrives meanwhile on open connections.
+   */
   public async finishDraining(): Promise<void> {
+    this.isRefusing = true;
+    this.connections.forEach((connection) => connection.refuseUnsent());
     // The HTTP server's own close() also destroys connections whose answer is ended but not yet
     // handed to the network. Idle connections are left to closeNow().
     ConnectionServer.prototype.close.call(this.server);
@@ -129,9 +137,19 @@
     return [...this.connections.values()].reduce((sum, { size }) => sum + size, 0);
   }
 
+  /** The requests that `requestsInFlight` counts. */
+  public get unanswered(): readonly PendingRequest[] {
+    return [...this.connections.values()].flatMap(({ unanswered }) => unanswered);
+  }
+
   private receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.connectionOf(request.socket);
-    const incoming = { connection, request: connection.add(() => request.complete), response };
+    const pending = connection.add({
+      id: this.attemptIdOf(request),
+      receivedAt: this.options.clock.now(),
+      isComplete: () => request.complete,
+    });
+    const incoming = { connection, request: pending, response };
     response.on('finish', () => connection.finish(incoming.request));
     this.serve(request, incoming).catch(() => connection.cut(incoming.request));
   }
@@ -140,6 +158,7 @@
     const known = this.connections.get(socket);
     if (known !== undefined) return known;
     const connection = new CallerConnection(socket, () => this.checkIdle());
+    if (this.isRefusing) connection.refuseUnsent();
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
@@ -155,7 +174,6 @@
   private async serve(request: IncomingMessage, incoming: Incoming): Promise<void> {
     const { clock, counters } = this.options;
     const { connection } = incoming;
-    const receivedAt = clock.now();
     const limits = this.options.limits() ?? DEFAULT_LIMITS;
     if (headerSize(request) > limits.headerBytes) {
       this.writeRefusal(incoming, { reason: 'headers-too-large' });
@@ -171,19 +189,27 @@
       this.writeRefusal(incoming, { reason: 'body-too-large' });
       return;
     }
-    const exchange = this.createExchange(request, body.bytes, receivedAt, incoming);
+    const exchange = this.createExchange(request, body.bytes, incoming);
     const canOverlap = this.options.canOverlap(exchange);
-    if (!(await connection.awaitTurn(incoming.request, canOverlap, body.bytes.length))) {
+    const turn = await connection.awaitTurn(incoming.request, canOverlap, body.bytes.length);
+    if (turn === 'drop') {
       counters.add('callers', 'behind-close');
       return;
     }
-    await this.writeOutcome(incoming, await this.options.handle(exchange));
+    const outcome = turn === 'execute' ? await this.options.handle(exchange) : undefined;
+    if (outcome === undefined || incoming.request.isRefused) await this.refuseStopping(incoming);
+    else await this.writeOutcome(incoming, outcome);
+  }
+
+  /** Refuses a request in its turn, so that the refusals of those behind it still follow. */
+  private async refuseStopping(incoming: Incoming): Promise<void> {
+    await incoming.connection.awaitLead(incoming.request);
+    this.writeRefusal(incoming, { reason: 'stopping' });
   }
 
   private createExchange(
     request: IncomingMessage,
     body: Buffer,
-    receivedAt: number,
     { connection, request: pending }: Incoming,
   ): CallerExchange {
     const { names, isForPeers } = this.options;
@@ -191,16 +217,17 @@
       name === 'content-length' || names.reserved.has(name) || isRelayField(name);
     const deadline = Number(request.headers[names.deadline.toLowerCase()]);
     return {
-      id: String(request.headers[names.attemptId.toLowerCase()] ?? ''),
+      id: pending.head.id,
       host: request.headers.host ?? '',
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       fields: endToEndHeaders(listHeaders(request.rawHeaders), isReserved),
       body,
       deadlineMilliseconds: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
-      receivedAt,
+      receivedAt: pending.head.receivedAt,
       relayed: isForPeers ? decodeStatement(request.headers) : undefined,
-      signal: pending.signal,
+      signal: pending.executionSignal,
+      passOn: () => pending.passOn(),
       isFollowed: () => connection.isFollowed(pending),
     };
   }
@@ -258,8 +285,11 @@
   /** What tells a peer that this daemon refuses the request, rather than a target. */
   private peerFields({ response }: Incoming, refused: Refused): readonly string[] {
     const { attemptId } = this.options.names;
-    const id = response.req.headers[attemptId.toLowerCase()];
-    return [...encodeRefusal(refused), attemptId, String(id ?? '')];
+    return [...encodeRefusal(refused), attemptId, this.attemptIdOf(response.req)];
+  }
+
+  private attemptIdOf({ headers }: IncomingMessage): string {
+    return String(headers[this.options.names.attemptId.toLowerCase()] ?? '');
   }
 
   private closesWith({ connection, request, response }: Incoming): boolean {
--- a/packages/gateway/src/callers/Refusal.ts
+++ b/packages/gateway/src/callers/Refusal.ts
@@ -14,6 +14,7 @@
   | 'refused-by-targets'
   | 'held-back'
   | 'too-late'
+  | 'stopping'
   | 'connection-broke'
   | 'timeout'
   | 'unsigned-answer'
@@ -114,6 +115,12 @@
     retryAfterMilliseconds: 0,
     meaning: 'the time for the request was over before it could be sent',
   },
+  stopping: {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 200,
+    meaning: 'this daemon is stopping and passes nothing on any more',
+  },
   'connection-broke': {
     status: 502,
     isNotRun: false,
--- a/packages/gateway/src/callers/shutDownGracefully.ts
+++ b/packages/gateway/src/callers/shutDownGracefully.ts
@@ -2,7 +2,10 @@
 import type CallerServer from './CallerServer.js';
 import type { GatewayOptions } from '../wiring/GatewayOptions.js';
 
-/** Keeps serving for a while, then accepts nothing new and waits for the requests in flight. */
+/** Requests that are logged one by one when they are cut; all of them are counted. */
+const MAXIMUM_LOGGED_REQUESTS = 50;
+
+/** Keeps serving for a while, then passes nothing new on and waits for the requests in flight. */
 export default async function shutDownGracefully(
   server: CallerServer,
   options: Pick<GatewayOptions, 'clock' | 'logger' | 'stopTimes'>,
@@ -13,9 +16,23 @@
   await clock.sleep(stopTimes.servingMilliseconds);
   const remaining = Math.max(0, stopTimes.totalMilliseconds - stopTimes.servingMilliseconds);
   await Promise.race([server.finishDraining(), clock.sleep(remaining)]);
+  logCutRequests(server, options);
   logger.info('leaving-done', {
     requestsCut: server.requestsInFlight,
     milliseconds: Math.round(clock.now() - startedAt),
   });
   server.closeNow();
 }
+
+function logCutRequests(
+  server: CallerServer,
+  { clock, logger }: Pick<GatewayOptions, 'clock' | 'logger'>,
+): void {
+  server.unanswered.slice(0, MAXIMUM_LOGGED_REQUESTS).forEach(({ head, stage }) =>
+    logger.warn('request-cut', {
+      request: head.id,
+      stage,
+      milliseconds: Math.round(clock.now() - head.receivedAt),
+    }),
+  );
+}
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -297,6 +297,7 @@
   /** Has a peer execute the request, which counts its retries there. */
   private async relay(): Promise<Step> {
     const { exchange, route, deadline, version, needsAuthorization } = this.plan;
+    if (!exchange.passOn()) return this.conclude('stopping');
     this.counts.countQuota();
     const result = await this.parts.relay.send({
       exchange,
@@ -343,7 +344,8 @@
   /** Sends to the picked target; an idempotent request that is slow there is hedged on a second one. */
   private async send(pick: Pick): Promise<Step> {
     const { hedging, clock } = this.parts;
-    const { service, route } = this.plan;
+    const { exchange, service, route } = this.plan;
+    if (!exchange.passOn()) return this.conclude('stopping');
     const startedAt = clock.now();
     const first = this.start(pick);
     const attempt = { service, route, startedAt, result: first.result };
