Lease connections to targets, so that an ended exchange cannot close them

Cause: an answer of more than 1 MB that has come whole hands its connection back, while the rest of its body waits for the caller. If that caller went, the old exchange destroyed the socket that it still knew, which carried the request of another caller by then.

An exchange now holds a ConnectionLease, which ends once: handed back or closed. It is the only way from the exchange to the socket, and closing an ended lease does nothing, so that no path of the exchange has to ask whether the connection is still its own. The request of Node's client is no longer destroyed apart: closing its socket ends it.

--- a/packages/gateway/src/connections/TargetConnections.ts
+++ b/packages/gateway/src/connections/TargetConnections.ts
@@ -4,16 +4,24 @@
 import type { TargetEntry } from '../state/TargetEntry.js';
 import type { OpenConnection } from './openConnection.js';
 import { CONNECT_TIMEOUT_MILLISECONDS } from './openConnection.js';
+import ConnectionLease from './ConnectionLease.js';
 import type { IdleConnection } from './IdleConnections.js';
 import IdleConnections from './IdleConnections.js';
 import type IdleReuse from './IdleReuse.js';
 import type { AttemptResult, OutgoingRequest, TargetFieldNames } from './TargetAttempt.js';
-import type { ExchangeConnection } from './TargetExchange.js';
 import TargetExchange from './TargetExchange.js';
 
 /** A request that must run once is sent on a connection used this recently, or on a new one. */
 const RUN_ONCE_IDLE_MILLISECONDS = 6_000;
 
+/** An open connection that carries no request. */
+interface OpenedConnection {
+  readonly socket: Socket;
+  readonly isReused: boolean;
+  /** Time since its last answer ended; 0 for a new connection. */
+  readonly idleMilliseconds: number;
+}
+
 /** What is needed to reach a target, or a peer in the place of one. */
 type ConnectionTarget = Pick<TargetEntry, 'id' | 'address'>;
 
@@ -119,13 +127,15 @@
   private exchange(
     target: ConnectionTarget,
     request: OutgoingRequest,
-    connection: ExchangeConnection,
+    { socket, isReused, idleMilliseconds }: OpenedConnection,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { names, clock, counters } = this;
-    const release = (socket: Socket, idleMilliseconds: number) =>
-      this.idle.release(target.id, socket, idleMilliseconds);
-    const parts = { names, clock, counters, release };
+    const { names, clock, counters, idle } = this;
+    const lease = new ConnectionLease(socket, (freed, maximumIdleMilliseconds) =>
+      idle.release(target.id, freed, maximumIdleMilliseconds),
+    );
+    const connection = { lease, isReused, idleMilliseconds };
+    const parts = { names, clock, counters };
     return new TargetExchange(parts, target.id, request, connection).run(signal);
   }
 }
--- a/packages/gateway/src/connections/TargetExchange.ts
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -5,12 +5,12 @@
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { request as httpRequest } from 'node:http';
-import type { Socket } from 'node:net';
 import { PassThrough } from 'node:stream';
 import type { Clock, Counters } from '@cactusrun/core';
 import { discardBody } from '@cactusrun/requests';
 import type { RequestRate } from '../state/TargetStatement.js';
 import AnswerCutError from './AnswerCutError.js';
+import type ConnectionLease from './ConnectionLease.js';
 import { RECENT_USE_MILLISECONDS } from './IdleReuse.js';
 import {
   belongsToAnotherRequest,
@@ -34,13 +34,11 @@
   readonly names: TargetFieldNames;
   readonly clock: Clock;
   readonly counters: Counters;
-  /** Takes the connection back after a complete answer, with the time that it may stay idle. */
-  readonly release: (socket: Socket, idleMilliseconds: number) => void;
 }
 
 /** The connection that carries the request. */
-export interface ExchangeConnection {
-  readonly socket: Socket;
+export interface LeasedConnection {
+  readonly lease: ConnectionLease;
   readonly isReused: boolean;
   /** Time since its last answer ended; 0 for a new connection. */
   readonly idleMilliseconds: number;
@@ -68,7 +66,7 @@
     private readonly parts: ExchangeParts,
     private readonly targetId: string,
     private readonly request: OutgoingRequest,
-    private readonly connection: ExchangeConnection,
+    private readonly connection: LeasedConnection,
   ) {
     this.startedAt = parts.clock.now();
     this.client = this.writeRequest();
@@ -111,7 +109,7 @@
       path: request.path,
       headers: fields.map(([name, value]) => [name, value]) as never,
       setHost: false,
-      createConnection: () => this.connection.socket,
+      createConnection: () => this.connection.lease.socket,
     });
     // Without an agent, Node assumes that the connection closes after its first answer.
     client.shouldKeepAlive = true;
@@ -120,15 +118,15 @@
   }
 
   private readAnswer(response: IncomingMessage): void {
-    const { names, counters, release } = this.parts;
-    const { socket, isReused } = this.connection;
+    const { names, counters } = this.parts;
+    const { lease, isReused } = this.connection;
     this.hasResponse = true;
     if (belongsToAnotherRequest(response, names, this.request.id, isReused)) {
       counters.add('target_answers', 'of-another-request');
       this.fail('answer belongs to another request');
       return;
     }
-    socket.once('free', () => release(socket, readIdleTime(response)));
+    lease.releaseWhenFree(readIdleTime(response));
     const refusal = readRefusal(response, names);
     if (refusal === undefined) {
       this.readBody(response);
@@ -137,7 +135,7 @@
     if (refusal.reason !== 'other-target') this.checkRateLimit(refusal.stated.rateLimit);
     // The head alone proves that the request was not run; the body may be long or have no end.
     this.settle(refusal);
-    discardBody(response, this.parts.clock, () => this.destroy());
+    discardBody(response, this.parts.clock, () => this.connection.lease.close());
   }
 
   private readBody(response: IncomingMessage): void {
@@ -174,10 +172,10 @@
     const bodyRest = new PassThrough();
     this.bodyRest = bodyRest;
     response.pipe(bodyRest);
-    bodyRest.on('error', () => this.destroy());
+    bodyRest.on('error', () => this.connection.lease.close());
     bodyRest.on('close', () => {
       this.stopWatching?.();
-      if (!bodyRest.writableFinished) this.destroy();
+      if (!bodyRest.writableFinished) this.connection.lease.close();
     });
   }
 
@@ -213,7 +211,7 @@
     }
     if (this.isSettled) return;
     this.settle(result);
-    this.destroy();
+    this.connection.lease.close();
   }
 
   private settle(result: AttemptResult): void {
@@ -222,9 +220,4 @@
     if (this.bodyRest === undefined) this.stopWatching?.();
     this.resolve?.(result);
   }
-
-  private destroy(): void {
-    this.client.destroy();
-    this.connection.socket.destroy();
-  }
 }
