Move the statement of a relayed request to a file of its own

CallerExchange and RelayField imported each other. RelayStatement needs neither, so both import it from RelayStatement.ts now. A pure move; in tests only imports changed.

--- a/packages/gateway/src/__tests__/unit/requestQuotas.test.ts
+++ b/packages/gateway/src/__tests__/unit/requestQuotas.test.ts
@@ -4,7 +4,7 @@
  */
 import { beforeEach, describe, expect, it, vi } from 'vitest';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
-import type { RelayStatement } from '../../relay/RelayField.js';
+import type { RelayStatement } from '../../relay/RelayStatement.js';
 import WorkspaceKeys from '../../workspaces/WorkspaceKeys.js';
 import { refuseAtOnce } from './createReachability.js';
 import ProxyFixture, { answer, describeOutcome } from './ProxyFixture.js';
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -1,5 +1,5 @@
 /** A caller's request as the gateway receives it, and the outcome for the caller. */
-import type { RelayStatement } from '../relay/RelayField.js';
+import type { RelayStatement } from '../relay/RelayStatement.js';
 import type { RefusalReason } from './Refusal.js';
 import type { HeaderFields, TargetAnswer } from '../connections/TargetAttempt.js';
 
--- a/packages/gateway/src/execution/RequestCounts.ts
+++ b/packages/gateway/src/execution/RequestCounts.ts
@@ -5,7 +5,7 @@
 import type AttemptTracker from '../health/AttemptTracker.js';
 import type WorkspaceQuotas from '../limits/WorkspaceQuotas.js';
 import type { QuotaVerdict } from '../limits/WorkspaceQuotas.js';
-import type { RelayStatement } from '../relay/RelayField.js';
+import type { RelayStatement } from '../relay/RelayStatement.js';
 import type { Workspace } from '../workspaces/Workspace.js';
 import type RetryBudgetShares from './RetryBudgetShares.js';
 
--- a/packages/gateway/src/relay/PeerRelay.ts
+++ b/packages/gateway/src/relay/PeerRelay.ts
@@ -12,7 +12,7 @@
 import type TargetConnections from '../connections/TargetConnections.js';
 import type EntryDirectory from '../fleet/EntryDirectory.js';
 import type { PeerDescription } from '../fleet/PeerMessage.js';
-import type { RelayStatement } from './RelayField.js';
+import type { RelayStatement } from './RelayStatement.js';
 import { decodeRefusal, encodeStatement } from './RelayField.js';
 
 /** Peers that are asked in turn for one request, while it certainly did not run. */
--- a/packages/gateway/src/relay/RelayField.ts
+++ b/packages/gateway/src/relay/RelayField.ts
@@ -4,6 +4,7 @@
 import type { RefusalReason } from '../callers/Refusal.js';
 import { REFUSAL_RULES } from '../callers/Refusal.js';
 import type { HeaderFields } from '../connections/TargetAttempt.js';
+import type { RelayStatement } from './RelayStatement.js';
 
 /** Attempts at targets that the relaying daemon has made. */
 const ATTEMPTS_FIELD = 'cactusrun-attempts';
@@ -19,16 +20,6 @@
 const QUOTA_COUNTED = 'quota';
 const BUDGET_COUNTED = 'retry-budget';
 
-/** What the relaying daemon states of a request. */
-export interface RelayStatement {
-  readonly attemptsMade: number;
-  readonly configurationVersion: number;
-  /** Whether the request is counted against the quota of its workspace; older builds do not. */
-  readonly isQuotaCounted?: boolean;
-  /** Whether the retry budget was raised for the request. */
-  readonly isBudgetCounted?: boolean;
-}
-
 const RELAY_FIELDS: readonly string[] = [
   ATTEMPTS_FIELD,
   VERSION_FIELD,
