Move the question and answer of the choice of a target to a file of their own

TargetCost and TargetPicker imported each other. PickQuery, Pick and PickResult stand in TargetPick.ts, the location of a daemon where it is used, in TargetCost.ts. A pure move; in tests only imports changed.

--- a/packages/gateway/src/__tests__/unit/TargetCost.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetCost.test.ts
@@ -10,7 +10,7 @@
 import OutstandingRequests from '../../placement/OutstandingRequests.js';
 import ServiceTimes from '../../placement/ServiceTimes.js';
 import TargetCoverage from '../../placement/TargetCoverage.js';
-import type { PickQuery } from '../../placement/TargetPicker.js';
+import type { PickQuery } from '../../placement/TargetPick.js';
 import TargetPicker from '../../placement/TargetPicker.js';
 import TargetTable from '../../state/TargetTable.js';
 import createTargetEntry from './createTargetEntry.js';
--- a/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetPicker.test.ts
@@ -5,7 +5,7 @@
 import ServiceTimes from '../../placement/ServiceTimes.js';
 import { DEFAULT_HEALTH_MODEL_PARAMETERS } from '../../health/TargetHealthEstimate.js';
 import type { TargetEntry } from '../../state/TargetEntry.js';
-import type { PickQuery } from '../../placement/TargetPicker.js';
+import type { PickQuery } from '../../placement/TargetPick.js';
 import TargetCoverage from '../../placement/TargetCoverage.js';
 import TargetPicker from '../../placement/TargetPicker.js';
 import TargetTable from '../../state/TargetTable.js';
--- a/packages/gateway/src/__tests__/unit/decideHedge.test.ts
+++ b/packages/gateway/src/__tests__/unit/decideHedge.test.ts
@@ -9,7 +9,7 @@
 import decideHedge from '../../hedging/decideHedge.js';
 import SlotOccupancy from '../../hedging/SlotOccupancy.js';
 import OutstandingRequests from '../../placement/OutstandingRequests.js';
-import type { Pick } from '../../placement/TargetPicker.js';
+import type { Pick } from '../../placement/TargetPick.js';
 import type { KnownTarget } from '../../state/TargetTable.js';
 import TargetTable from '../../state/TargetTable.js';
 import createTargetEntry from './createTargetEntry.js';
--- a/packages/gateway/src/execution/AttemptLog.ts
+++ b/packages/gateway/src/execution/AttemptLog.ts
@@ -1,7 +1,7 @@
 /** Logs why a request was not placed, and each attempt of it that failed. */
 import type { Clock, Counters, Logger } from '@cactusrun/core';
 import type { AttemptResult } from '../connections/TargetAttempt.js';
-import type { Pick, PickResult } from '../placement/TargetPicker.js';
+import type { Pick, PickResult } from '../placement/TargetPick.js';
 import type { RunningAttempt } from './RunningAttempt.js';
 
 export interface AttemptLogParts {
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -35,7 +35,7 @@
 import type { Workspace } from '../workspaces/Workspace.js';
 import type AnswerSizes from '../placement/AnswerSizes.js';
 import type TargetPicker from '../placement/TargetPicker.js';
-import type { Pick, PickResult } from '../placement/TargetPicker.js';
+import type { Pick, PickResult } from '../placement/TargetPick.js';
 
 /** Remaining time below which no further attempt is made. */
 const MINIMUM_REMAINING_MILLISECONDS = 30;
--- a/packages/gateway/src/execution/RunningAttempt.ts
+++ b/packages/gateway/src/execution/RunningAttempt.ts
@@ -11,7 +11,7 @@
 import type ServiceTimes from '../placement/ServiceTimes.js';
 import type { AttemptResult, OutgoingRequest } from '../connections/TargetAttempt.js';
 import type TargetConnections from '../connections/TargetConnections.js';
-import type { Pick } from '../placement/TargetPicker.js';
+import type { Pick } from '../placement/TargetPick.js';
 
 /** An attempt stalls when it takes this many times longer than expected, and at least the minimum. */
 const STALL_FACTOR = 3.5;
--- a/packages/gateway/src/hedging/HedgePolicy.ts
+++ b/packages/gateway/src/hedging/HedgePolicy.ts
@@ -6,7 +6,7 @@
 import type { Clock, Counters } from '@cactusrun/core';
 import type { AttemptResult } from '../connections/TargetAttempt.js';
 import { isSuccessful } from '../execution/RunningAttempt.js';
-import type { Pick, PickResult } from '../placement/TargetPicker.js';
+import type { Pick, PickResult } from '../placement/TargetPick.js';
 import type TargetReachability from '../reachability/TargetReachability.js';
 import type { GatewayRoute, RequestKind } from '../state/GatewayConfiguration.js';
 import AnswerTimes from './AnswerTimes.js';
--- a/packages/gateway/src/hedging/decideHedge.ts
+++ b/packages/gateway/src/hedging/decideHedge.ts
@@ -2,7 +2,7 @@
  * Decides whether a request that waits for its first target is sent to a second one. A hedge must not
  * add load where there is no room for it, and must be able to help.
  */
-import type { Pick, PickResult } from '../placement/TargetPicker.js';
+import type { Pick, PickResult } from '../placement/TargetPick.js';
 
 /** Share of a service's slots from which it counts as short of room. */
 const SHORT_OF_ROOM_SHARE = 0.75;
--- a/packages/gateway/src/placement/TargetCost.ts
+++ b/packages/gateway/src/placement/TargetCost.ts
@@ -7,7 +7,7 @@
 import type { RequestKind } from '../state/GatewayConfiguration.js';
 import { isRepeatable } from '../state/GatewayConfiguration.js';
 import type { DueReason } from './TargetCoverage.js';
-import type { Location, Pick, PickQuery } from './TargetPicker.js';
+import type { Pick, PickQuery } from './TargetPick.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Probability per second that the target becomes unhealthy before it starts a waiting request. */
@@ -46,6 +46,11 @@
 /** For this long, a new target is left to the requests that may be retried, if there are any. */
 const LEFT_TO_OTHERS_MILLISECONDS = 2_000;
 
+export interface Location {
+  readonly zone: string;
+  readonly region: string;
+}
+
 export interface TargetCostParts {
   /** Location of this daemon. */
   readonly location: Location;
