--- a/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
+++ b/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
@@ -145,6 +145,7 @@
       receivedAt: systemClock.now(),
       relayed: undefined,
       signal: new AbortController().signal,
+      passOn: () => true,
       isFollowed: () => false,
     };
     const statement = { attemptsMade: 0, configurationVersion: 1 };
