Answer a request whose target has no usable address

Callers saw: a contract with a target at 127.0.77.33:99999, for example from another writer of the log, left a request for that target without an answer, and the slot stayed taken for good: the next request was refused with queue-deadline. The rejection was also unhandled, which ends a process. Seen with a ShardKeeper on the old build: 'Port should be >= 0 and < 65536', one slot in use, refusal of the second request.

Cause: http.request throws at once for such a port, and for a method, path or field that it refuses to write; inside the promise of send() that became a rejection, although a connector never rejects. TargetSender had taken the slot and releases it after the result only.

The connector now parses the address first and reports everything that throws before a byte is written as connect-failed, which is proved not to have run: the keeper frees the slot and tries another target. An address such as 999.1.1.1 is refused at once too, where it was looked up as a name before.

--- a/packages/daemon/src/HttpTargetConnector.ts
+++ b/packages/daemon/src/HttpTargetConnector.ts
@@ -6,6 +6,7 @@
 import type { ClientRequest } from 'node:http';
 import { Agent, request as httpRequest } from 'node:http';
 import type { Clock, ConnectionAge, Target } from '@cactusrun/core';
+import { CactusrunError, describeError, parseAddress } from '@cactusrun/core';
 import type { Attempt, TargetConnector, TargetResult } from '@cactusrun/requests';
 import { joinHeaders } from './headers.js';
 import TargetExchange from './TargetExchange.js';
@@ -37,7 +38,13 @@
         resolve({ kind: 'connect-failed', detail: 'cancelled before it was sent' });
         return;
       }
-      const request = this.open(target, attempt);
+      let request: ClientRequest;
+      try {
+        request = this.open(target, attempt);
+      } catch (error) {
+        resolve({ kind: 'connect-failed', detail: describeError(error) });
+        return;
+      }
       const settle = (result: TargetResult) => {
         if (result.kind === 'answered') this.lastAnswerTimes.set(target.address, this.clock.now());
         resolve(result);
@@ -58,8 +65,12 @@
     this.agents.clear();
   }
 
+  /** @throws Error when the target has no address, or when Node refuses to write the request */
   private open(target: Target, attempt: Attempt): ClientRequest {
-    const [host, port] = target.address.split(':');
+    const address = parseAddress(target.address);
+    if (address === undefined) {
+      throw new CactusrunError('not an address', { step: 'connecting', peer: target.address });
+    }
     const remaining = Math.max(1, Math.round(attempt.deadline - this.clock.now()));
     const headers = joinHeaders([
       ...attempt.headers,
@@ -70,8 +81,7 @@
         : []),
     ]);
     return httpRequest({
-      host,
-      port,
+      ...address,
       method: attempt.method,
       path: attempt.path,
       headers,
--- a/packages/daemon/src/__tests__/unit/HttpTargetConnector.test.ts
+++ b/packages/daemon/src/__tests__/unit/HttpTargetConnector.test.ts
@@ -143,6 +143,24 @@
     expect(requests.length).toBe(before);
   });
 
+  // A contract may hold an address that no socket takes; Node throws where it is used.
+  it.each(['0', '65536', '99999', 'x'])('returns connect-failed for port %s', async (port) => {
+    const target: Target = { name: 't', address: `${HOST}:${port}`, zone: 'west-a' };
+    const sent: ConnectionAge[] = [];
+    const { signal } = new AbortController();
+    const result = await connector.send(target, attemptOf(), signal, (age) => sent.push(age));
+    expect([result.kind, sent]).toEqual(['connect-failed', []]);
+  });
+
+  // A request of a peer may hold what Node refuses to write.
+  it.each([{ path: '/a b' }, { method: 'GE T' }, { headers: [['a b', 'c']] as const }])(
+    'returns connect-failed for a request that cannot be written: %j',
+    async (patch) => {
+      const { result, sent } = await send(18_100, attemptOf(patch));
+      expect([result.kind, sent]).toEqual(['connect-failed', []]);
+    },
+  );
+
   it('reports whether a connection was reused', async () => {
     const first = await send(18_104);
     if (first.result.kind === 'answered') await first.result.body.toArray();
