Send heartbeats only to what is an address

A member, a seed or an entry of the host list with an address such as 127.0.77.8:65536 makes send() of the heartbeats throw ('Port should be > 0 and < 65536'). By the code, that ends the task that probes members for good where a probe is sent, and the process where a datagram is answered, since nothing catches it there; the tests show the throw.

Cause: the address was split at the colon and passed to dgram's send, which throws for ports out of range.

The transport now parses it and counts a message without an address as heartbeat_errors no-address; nothing is looked up as a name any more. An update without an address for gRPC is refused like one without a heartbeat address, since a client for it throws where a shard is handed over.

--- a/packages/membership/src/Member.ts
+++ b/packages/membership/src/Member.ts
@@ -47,8 +47,10 @@
 
 /** Decodes an update from another daemon; undefined if it is malformed. */
 export function fromUpdate(update: MemberUpdate): Member | undefined {
-  const isComplete =
-    update.name !== '' && update.incarnation !== '' && update.heartbeatAddress !== '';
+  const { name, incarnation, heartbeatAddress, peerAddress } = update;
+  const isComplete = [name, incarnation, heartbeatAddress, peerAddress].every(
+    (text) => text !== '',
+  );
   if (!isComplete || !isMemberState(update.state) || !Number.isFinite(update.version)) {
     return undefined;
   }
--- a/packages/membership/src/MemberTransport.ts
+++ b/packages/membership/src/MemberTransport.ts
@@ -1,12 +1,12 @@
 /** The transport interface of the membership protocol, and its UDP implementation. */
 import { createSocket } from 'node:dgram';
 import type { Stop } from '@cactusrun/core';
-import { CactusrunError } from '@cactusrun/core';
+import { CactusrunError, parseAddress } from '@cactusrun/core';
 import type { MemberMessage } from '@cactusrun/protocol';
 import { fromBinary, MemberMessageSchema, toBinary } from '@cactusrun/protocol';
 
 export interface MemberTransport {
-  /** Sends without a delivery guarantee. The address is `ip:port`. */
+  /** Sends without a delivery guarantee. The address is `ip:port`; nothing is sent to any other. */
   send(address: string, message: MemberMessage): void;
   /** Calls the listener with each received message. */
   listen(listener: (message: MemberMessage) => void): void;
@@ -21,11 +21,6 @@
   add(name: string, reason: string, amount?: number): void;
 }
 
-function splitAddress(address: string): { readonly ip: string; readonly port: number } {
-  const [ip = '', port = ''] = address.split(':');
-  return { ip, port: Number(port) };
-}
-
 /**
  * Opens the heartbeat socket.
  *
@@ -38,22 +33,26 @@
   translate: (address: string) => string,
   counters: TransportCounters,
 ): Promise<UdpTransport> {
+  const own = parseAddress(address);
+  const context = { step: 'binding heartbeats', peer: address };
+  if (own === undefined) throw new CactusrunError('not an address', context);
   const socket = createSocket('udp4');
-  const { ip, port } = splitAddress(address);
   await new Promise<void>((resolve, reject) => {
-    socket.once('error', (error) => {
-      reject(new CactusrunError(error.message, { step: 'binding heartbeats', peer: address }));
-    });
-    socket.bind(port, ip, resolve);
+    socket.once('error', (error) => reject(new CactusrunError(error.message, context)));
+    socket.bind(own.port, own.host, resolve);
   });
   socket.removeAllListeners('error');
   socket.on('error', () => counters.add('heartbeat_errors', 'socket'));
   return {
     send: (to, message) => {
-      const peer = splitAddress(translate(to));
+      const peer = parseAddress(translate(to));
+      if (peer === undefined) {
+        counters.add('heartbeat_errors', 'no-address');
+        return;
+      }
       const bytes = toBinary(MemberMessageSchema, message);
       counters.add('heartbeat_bytes', 'sent', bytes.length);
-      socket.send(bytes, peer.port, peer.ip, (error) => {
+      socket.send(bytes, peer.port, peer.host, (error) => {
         if (error !== null) counters.add('heartbeat_errors', 'send');
       });
     },
--- a/packages/membership/src/__tests__/unit/MemberTransport.test.ts
+++ b/packages/membership/src/__tests__/unit/MemberTransport.test.ts
@@ -40,6 +40,17 @@
     );
   });
 
+  // Addresses come from other members and from the host list.
+  it.each(['127.0.77.8:65536', '127.0.77.8:0', '127.0.77.8', '', 'nowhere:1'])(
+    'counts a message to %j, which is no address, and does not throw',
+    async (to) => {
+      const { transport, counters } = await open(LOCAL_ADDRESS);
+      transport.send(to, create(MemberMessageSchema, { kind: 'ping' }));
+      expect(counters.valueOf('heartbeat_errors', 'no-address')).toBe(1);
+      expect(counters.valueOf('heartbeat_bytes', 'sent')).toBe(0);
+    },
+  );
+
   it('counts unreadable datagrams and keeps receiving', async () => {
     const { transport, counters } = await open(LOCAL_ADDRESS);
     const received = new Promise<MemberMessage>((resolve) => {
