Leave out single odd entries of the host list

Callers saw: while another writer keeps one odd entry in the platform's host list (an unknown kind, a missing field, a number that is too large, a deep nesting), no daemon follows the list any more: hosts that join are not contacted, upstream hosts that leave keep getting requests. An entry with a port out of range was passed on as an address for heartbeats.

Cause: the list was checked as a whole, so that one entry made it malformed, and addresses were any text.

Each entry is now checked by itself, its address with parseAddress; one that is not understood is left out and counted as host_list entry-unreadable. Fields of later versions are ignored as before.

--- a/packages/daemon/src/wireControl.ts
+++ b/packages/daemon/src/wireControl.ts
@@ -27,7 +27,7 @@
 export async function wireControl(context: DaemonContext) {
   const { settings, host, clock, random, counters } = context;
   const translate = createAddressTranslator(settings);
-  const platform = new HttpPlatform(settings.platform.address);
+  const platform = new HttpPlatform(settings.platform.address, counters);
   const store = new ConfigurationStore(counters, clock);
   const shared = { ...context, log: platform, store };
   const { retentionMilliseconds } = settings.platform;
--- a/packages/platform/src/HttpPlatform.ts
+++ b/packages/platform/src/HttpPlatform.ts
@@ -1,7 +1,8 @@
 /** HTTP client for the platform's log and host list; `docs/PLATFORM.md` describes the protocol. */
 import type { LogEntry } from '@cactusrun/configuration';
 import { checkAgainst } from '@cactusrun/configuration';
-import { describeError } from '@cactusrun/core';
+import type { Counters } from '@cactusrun/core';
+import { describeError, parseAddress } from '@cactusrun/core';
 import { Pool } from 'undici';
 import { z } from 'zod';
 import type { HostList, ListedHost, LogPage, PlatformFailure, PlatformLog } from './PlatformLog.js';
@@ -20,17 +21,16 @@
 
 const AppendedSchema = z.object({ offset: z.number().int() });
 
-const HostsSchema = z.object({
-  hosts: z.array(
-    z.object({
-      name: z.string(),
-      kind: z.enum(['entry', 'upstream']),
-      address: z.string(),
-      state: z.enum(['live', 'leaving']),
-    }),
-  ),
+const HostSchema = z.object({
+  name: z.string(),
+  kind: z.enum(['entry', 'upstream']),
+  address: z.string().refine((text) => parseAddress(text) !== undefined),
+  state: z.enum(['live', 'leaving']),
 });
 
+/** Its entries are checked one by one: other programs write them, and one must not hide the rest. */
+const HostsSchema = z.object({ hosts: z.array(z.unknown()) });
+
 /** Error codes that mean that no byte of the request reached the platform. */
 const UNSENT_CODES: readonly string[] = ['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH'];
 
@@ -51,8 +51,14 @@
 export default class HttpPlatform implements PlatformLog, HostList {
   private readonly pool: Pool;
 
-  /** @param address - `ip:port` of the platform's service */
-  constructor(address: string) {
+  /**
+   * @param address - `ip:port` of the platform's service
+   * @param counters - count the entries that are left out
+   */
+  constructor(
+    address: string,
+    private readonly counters?: Counters,
+  ) {
     this.pool = new Pool(`http://${address}`, {
       connections: MAXIMUM_CONNECTIONS,
       pipelining: 1,
@@ -95,7 +101,11 @@
       path: '/hosts',
       timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
     });
-    return hosts;
+    return hosts.flatMap((entry) => {
+      const { data } = HostSchema.safeParse(entry);
+      if (data === undefined) this.counters?.add('host_list', 'entry-unreadable');
+      return data ?? [];
+    });
   }
 
   public async close(): Promise<void> {
