Call an answer without a length broken when its target resets it

Cause: when the last bytes and the reset wait in the kernel together, Node reports the end of the stream and no error, and its client the end of a complete answer.

A connection that was reset has no peer. watchForOrderlyEnd asks for the remote address when the socket reports its end, which is before it closes, for paused answers too (trial with raw sockets and with Node's client: no address after a reset, the address after an orderly end, 200 ms pause and 13 MB included). An answer that ends with its connection is whole only after an orderly end. The address is a public field that Node looks up once and keeps; the trial showed that one which is read before hides the reset, so nothing may read it earlier.

An answer with another transfer coding than chunks ends with its connection, too, and counted as framed: endsWithConnection now decides for both.

--- a/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
+++ b/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
@@ -54,6 +54,9 @@
   return `HTTP/1.1 ${status}\r\nX-Attempt: ${id}\r\nX-Signature: s\r\n${fields}\r\n`;
 }
 
+/** Endings after which no answer without a length is whole. */
+const RESETS: readonly string[] = ['and resets', 'and resets later'];
+
 const CHUNKS = 'transfer-encoding: chunked\r\n';
 
 const ANSWERS: Readonly<Record<string, Answer>> = {
@@ -78,6 +81,11 @@
     body: 'no',
     isRefusal: true,
   },
+  'with another transfer coding than chunks': {
+    head: (id) => headOf(id, 'transfer-encoding: gzip\r\n'),
+    body: 'body',
+    endsWithConnection: true,
+  },
   'without a length': { head: (id) => headOf(id, ''), body: 'body', endsWithConnection: true },
 };
 
@@ -119,14 +127,33 @@
     };
   }
 
-  function send(id: string, needsNewConnection = true): Promise<AttemptResult> {
-    return connections.send(
+  function send(id: string, needsNewConnection = true, pool = connections): Promise<AttemptResult> {
+    return pool.send(
       createTargetEntry('target-1', { address: server.address }),
       { ...createRequest(id), isRetry: false, needsNewConnection },
       new AbortController().signal,
     );
   }
 
+  /** Sends a request on a connection of its own that has carried an answer before. */
+  async function sendOnKept(id: string): Promise<AttemptResult> {
+    const idleReuse = new IdleReuse(systemClock);
+    const pool = new TargetConnections(
+      NAMES,
+      idleReuse,
+      systemClock,
+      new Counters(),
+      openConnection,
+    );
+    const first = `first-${id}`;
+    scripts.set(first, (socket) => socket.write(headOf(first, 'content-length: 0\r\n')));
+    await send(first, false, pool);
+    await expect.poll(() => pool.hasIdle('target-1', 'once'), { interval: 1 }).toBe(true);
+    const result = await send(id, false, pool);
+    pool.close();
+    return result;
+  }
+
   function relay(id: string): Promise<RelayResult> {
     const peer = createPeerDescription('peer-1', { relayAddress: server.address });
     const peerRelay = new PeerRelay({
@@ -185,23 +212,33 @@
   }
 
   /** Positions at which the answer is not whole. */
-  function positionsOf({ head, body, endsWithConnection, isRefusal }: Answer): number[] {
+  function positionsOf(
+    { head, body, endsWithConnection, isRefusal }: Answer,
+    ending: string,
+  ): number[] {
     const headLength = head(idAt(0)).length;
+    const wholeLength = headLength + body.length;
     // An ordinary end after a head without a length is how such an answer ends.
-    const isHeadEnough = endsWithConnection === true || isRefusal === true;
-    const length = isHeadEnough ? headLength : headLength + body.length;
+    const unframedLength = RESETS.includes(ending) ? wholeLength + 1 : headLength;
+    const framedLength = isRefusal === true ? headLength : wholeLength;
+    const length = endsWithConnection === true ? unframedLength : framedLength;
     return Array.from({ length }, (_, position) => position);
   }
 
   Object.entries(ANSWERS).forEach(([name, answer]) => {
     Object.entries(ENDINGS).forEach(([ending, end]) => {
-      const positions = positionsOf(answer);
+      const positions = positionsOf(answer, ending);
 
       it(`${name} after any byte ${ending} is broken`, async () => {
         const results = await cutAt(answer, positions, end, send);
         expect(results).toEqual(new Map([['broken', positions]]));
       });
 
+      it(`${name} after any byte ${ending} on a kept connection is broken`, async () => {
+        const results = await cutAt(answer, positions, end, sendOnKept);
+        expect(results).toEqual(new Map([['broken', positions]]));
+      });
+
       it(`${name} after any byte ${ending} at a peer that relays is broken`, async () => {
         const results = await cutAt(answer, positions, end, relay);
         expect(results).toEqual(new Map([['broken', positions]]));
--- a/packages/gateway/src/connections/TargetExchange.ts
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -14,11 +14,13 @@
 import { RECENT_USE_MILLISECONDS } from './IdleReuse.js';
 import {
   belongsToAnotherRequest,
+  endsWithConnection,
   readIdleTime,
   readRefusal,
   readTargetAnswer,
 } from './readTargetAnswer.js';
 import type { AttemptResult, OutgoingRequest, TargetFieldNames } from './TargetAttempt.js';
+import watchForOrderlyEnd from './watchForOrderlyEnd.js';
 
 /** Answers up to this size are buffered whole before the caller gets any of them. */
 const MAXIMUM_BUFFERED_BYTES = 1_048_576;
@@ -139,6 +141,7 @@
   }
 
   private readBody(response: IncomingMessage): void {
+    const isWhole = this.watchEnd(response);
     const chunks: Buffer[] = [];
     let size = 0;
     const finish = () => {
@@ -158,11 +161,19 @@
     response.on('data', onData);
     response.on('error', (error) => this.fail(error.message));
     response.on('end', () => {
-      if (!response.complete) this.fail('incomplete answer');
+      if (!isWhole()) this.fail('incomplete answer');
       else if (this.bodyRest === undefined) finish();
     });
   }
 
+  /** Returns a function that tells, at the end of an answer, whether all of it has arrived. */
+  private watchEnd(response: IncomingMessage): () => boolean {
+    const hasBody = this.request.method !== 'HEAD';
+    if (!hasBody || !endsWithConnection(response)) return () => response.complete;
+    const hasEndedOrderly = watchForOrderlyEnd(this.connection.lease.socket);
+    return () => response.complete && hasEndedOrderly();
+  }
+
   private checkRateLimit(rateLimit: RequestRate | undefined): void {
     if (rateLimit === undefined) this.parts.counters.add('target_answers', 'unreadable-rate-limit');
   }
--- a/packages/gateway/src/connections/readTargetAnswer.ts
+++ b/packages/gateway/src/connections/readTargetAnswer.ts
@@ -15,6 +15,7 @@
 const UNAVAILABLE_STATUS = 503;
 const DECIMAL_NUMBER = /^\d+(\.\d*)?$|^\.\d+$/;
 const LEAVING_VALUE = '1';
+const CHUNKED_CODING = /(^|,)\s*chunked\s*$/i;
 const BODILESS_STATUSES: readonly number[] = [204, 304];
 
 /** Returns the refusal if the target states that it did not run the request. */
@@ -67,14 +68,18 @@
     bodyRest,
     ...readBodyBytes(response),
     stated: readStatement(response, names),
-    isFramed:
-      response.headers['content-length'] !== undefined ||
-      response.headers['transfer-encoding'] !== undefined ||
-      BODILESS_STATUSES.includes(status),
+    isFramed: !endsWithConnection(response),
     isSigned: fieldOf(response, names.signature) !== undefined,
   };
 }
 
+/** Whether the body is ended by the end of the connection, rather than by a length or its last chunk. */
+export function endsWithConnection({ headers, statusCode = 0 }: IncomingMessage): boolean {
+  if (headers['content-length'] !== undefined) return false;
+  const isChunked = CHUNKED_CODING.test(headers['transfer-encoding'] ?? '');
+  return !isChunked && !BODILESS_STATUSES.includes(statusCode);
+}
+
 /** The length of the body that the answer states; the parser has refused what is not a number. */
 function readBodyBytes({ headers }: IncomingMessage): Pick<TargetAnswer, 'bodyBytes'> {
   const length = headers['content-length'];
