An answer without a length shows its early end when the daemon stops or is killed

Cause: AnswerWriter passed such a body on unframed, ended by the end of the connection; closeNow destroyed the sockets, which sends a FIN, and so does the kernel for a process that is killed.

Fix: a body of unknown length goes out in chunks while it arrives. One that is whole in memory gets its length, and one whose target stated a length keeps that. So an early end shows whatever ends the connection. Only to HTTP/1.0 a body of unknown length goes out as it is; closeNow resets a connection whose answer was begun and is not whole. After SIGKILL, the HTTP/1.0 case cannot be told. Answers to HEAD, 204 and 304 state no length of a body that they do not have; before, they stated 0, and HEAD also in place of the target's own length.

What it makes needless: such an answer no longer closes the caller's connection. Peers that relay get answers through the same writer.

--- a/packages/gateway/src/__tests__/unit/ProxyFixture.ts
+++ b/packages/gateway/src/__tests__/unit/ProxyFixture.ts
@@ -184,7 +184,6 @@
       relayed: undefined,
       signal: new AbortController().signal,
       passOn: () => true,
-      isFollowed: () => false,
       ...change,
     };
   }
--- a/packages/gateway/src/callers/AnswerWriter.ts
+++ b/packages/gateway/src/callers/AnswerWriter.ts
@@ -13,12 +13,24 @@
 const RETURN_SPREAD_MILLISECONDS = 500;
 const MILLISECONDS_PER_SECOND = 1_000;
 const CLOSE_FIELDS: readonly string[] = ['connection', 'close'];
+const NO_CONTENT_STATUS = 204;
+const NOT_MODIFIED_STATUS = 304;
 
 export default class AnswerWriter {
   constructor(private readonly random: Random) {}
 
   /**
-   * Writes the answer of a target.
+   * Whether only the end of the connection ends the body: its length is unknown, and the caller takes
+   * no chunks, as it speaks HTTP/1.0.
+   */
+  public static endsWithConnection(response: ServerResponse, answer: TargetAnswer): boolean {
+    const { bodyBytes, bodyRest } = answer;
+    return bodyRest !== undefined && bodyBytes === undefined && !takesChunks(response);
+  }
+
+  /**
+   * Writes the answer of a target. A body of unknown length goes out in chunks, so that its early end
+   * shows whatever ends the connection, and to HTTP/1.0 as it is.
    *
    * @param closes - whether the connection ends with this answer
    * @param onCut - called when the rest of the body breaks off
@@ -30,11 +42,10 @@
     onCut: () => void,
   ): void {
     const { bodyStart, bodyRest } = answer;
-    const hasKnownLength = bodyRest === undefined && answer.isFramed;
-    if (!answer.isFramed) response.useChunkedEncodingByDefault = false;
+    const length = lengthFor(response.req.method, answer);
     response.writeHead(answer.status, [
       ...answer.fields.filter(([name]) => !isRelayField(name)).flat(),
-      ...(hasKnownLength ? ['content-length', String(bodyStart.length)] : []),
+      ...(length === undefined ? [] : ['content-length', String(length)]),
       ...(closes ? CLOSE_FIELDS : []),
     ]);
     if (bodyRest === undefined) {
@@ -87,3 +98,17 @@
     return REFUSAL_RULES[reason].retryAfterMilliseconds * jitter;
   }
 }
+
+/** Node sets this for callers that speak HTTP/1.1. */
+function takesChunks({ useChunkedEncodingByDefault }: ServerResponse): boolean {
+  return useChunkedEncodingByDefault;
+}
+
+/** The length that the answer states to its caller; undefined for none. */
+function lengthFor(method: string | undefined, answer: TargetAnswer): number | undefined {
+  const { status, bodyBytes, bodyStart, bodyRest } = answer;
+  if (status === NO_CONTENT_STATUS) return undefined;
+  const isBodiless = method === 'HEAD' || status === NOT_MODIFIED_STATUS;
+  const isKnown = bodyRest === undefined && !isBodiless;
+  return bodyBytes ?? (isKnown ? bodyStart.length : undefined);
+}
--- a/packages/gateway/src/callers/CallerConnection.ts
+++ b/packages/gateway/src/callers/CallerConnection.ts
@@ -106,12 +106,6 @@
     return true;
   }
 
-  /** Whether a later request of the connection is being executed. */
-  public isFollowed(request: PendingRequest): boolean {
-    const position = this.requests.indexOf(request);
-    return this.requests.slice(position + 1).some(({ state }) => state === 'started');
-  }
-
   /** Starts no further request: the connection is about to end. */
   public startNoMore(): void {
     this.isClosing = true;
@@ -136,8 +130,8 @@
 
   /**
    * Ends the connection in place of an answer or of the rest of one. The connection is reset, since
-   * an answer without a length would look whole if its connection ended in the ordinary way.
-   * Answers before it are written first.
+   * to HTTP/1.0 an answer without a length would look whole if its connection ended in the ordinary
+   * way. Answers before it are written first.
    */
   public cut(request: PendingRequest): void {
     this.isClosing = true;
@@ -145,6 +139,17 @@
     else this.finish(request);
   }
 
+  /** Resets the connection if an answer was begun on it and is not whole yet. */
+  public resetHalfAnswered(): void {
+    if (this.requests[0]?.stage === 'answering') this.socket.resetAndDestroy();
+  }
+
+  /** Whether a later request of the connection is being executed. */
+  private isFollowed(request: PendingRequest): boolean {
+    const position = this.requests.indexOf(request);
+    return this.requests.slice(position + 1).some(({ state }) => state === 'started');
+  }
+
   private closeWhenAnswered(): void {
     if (!this.isClosing && !this.hasEnded) return;
     const owed = this.isClosing
--- a/packages/gateway/src/callers/CallerExchange.ts
+++ b/packages/gateway/src/callers/CallerExchange.ts
@@ -25,11 +25,6 @@
    * @returns false if it must not be, since the daemon stops
    */
   readonly passOn: () => boolean;
-  /**
-   * Whether later requests of its connection are being executed, which an answer that closes the
-   * connection would cut off.
-   */
-  readonly isFollowed: () => boolean;
 }
 
 /** Why a request gets no answer of a target. */
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -126,8 +126,9 @@
     });
   }
 
-  /** Closes every connection, also those with a request in flight. */
+  /** Closes every connection; one with an answer that is not whole is reset, so that this shows. */
   public closeNow(): void {
+    this.connections.forEach((connection) => connection.resetHalfAnswered());
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -210,7 +211,7 @@
   private createExchange(
     request: IncomingMessage,
     body: Buffer,
-    { connection, request: pending }: Incoming,
+    { request: pending }: Incoming,
   ): CallerExchange {
     const { names, isForPeers } = this.options;
     const isReserved = (name: string) =>
@@ -228,7 +229,6 @@
       relayed: isForPeers ? decodeStatement(request.headers) : undefined,
       signal: pending.executionSignal,
       passOn: () => pending.passOn(),
-      isFollowed: () => connection.isFollowed(pending),
     };
   }
 
@@ -255,10 +255,9 @@
       this.writeRefusal(incoming, { reason: 'connection-broke' });
       return;
     }
-    // A body that the target ended by closing its connection may be truncated. The caller's
-    // connection is closed too, so that the caller can see this.
-    if (!answer.isFramed) connection.startNoMore();
-    const closes = this.closesWith(incoming) || !answer.isFramed;
+    const endsBody = AnswerWriter.endsWithConnection(response, answer);
+    if (endsBody) connection.startNoMore();
+    const closes = this.closesWith(incoming) || endsBody;
     this.holdAnswer(incoming, answer);
     AnswerWriter.writeAnswer(response, answer, closes, () => connection.cut(request));
   }
--- a/packages/gateway/src/execution/RequestExecution.ts
+++ b/packages/gateway/src/execution/RequestExecution.ts
@@ -180,10 +180,6 @@
         answer.bodyRest?.destroy();
         return this.handleFailure('unsigned-answer');
       },
-      closing: (answer) => {
-        this.keepAsFailure(answer);
-        return RETRY;
-      },
     };
 
   constructor(
@@ -454,13 +450,12 @@
   }
 
   private handleAnswer(answer: TargetAnswer): Step {
-    const { exchange, fingerprint, route } = this.plan;
+    const { fingerprint, route } = this.plan;
     this.parts.crashes.recordAnswer(fingerprint);
     if (answer.isSigned) {
       this.parts.answerSizes?.record(route.name, lengthOf(answer));
     }
-    const verdict = judgeAnswer(answer, this.isIdempotent() && exchange.isFollowed());
-    return this.answerHandlers[verdict](answer);
+    return this.answerHandlers[judgeAnswer(answer)](answer);
   }
 
   /** Keeps an answer that the caller gets if no other target has a better one. */
