A stopping daemon answers each request that it has read whole

What callers saw: of requests sent behind one another on a connection, the one that must run once waits for the answers before it. When the daemon stopped meanwhile, the answer before it closed the connection, and the request, read whole, got a bare close.

Cause: closesWith counted only later requests that had started.

Fix: an answer does not close the connection while a later request that was read whole waits for its turn; the last one closes it. During the serving time it is served, afterwards refused (design 0023). Behind an answer that closes for another reason nothing starts, as before.

Evidence: the case "is the one to the last request that was read whole, while draining" failed before ("expected [ 'a', 'b' ] to deeply equal [ 'a', 'b', 'c' ]"). It replaces "... the last request that was started", which asserted the bare close of the third request; it asserts as much of order, of the one closing answer and of the end, and that a request that was not read whole is not executed.

--- a/packages/gateway/src/callers/CallerConnection.ts
+++ b/packages/gateway/src/callers/CallerConnection.ts
@@ -94,7 +94,7 @@
 
   /**
    * Decides whether the answer that is about to be written closes the connection. It does not while
-   * a later request is being executed: the last of those closes it.
+   * a later request has been read whole: the last of those closes it.
    *
    * @param wantsClose - whether the connection should end as soon as possible
    */
@@ -144,10 +144,12 @@
     if (this.requests[0]?.stage === 'answering') this.socket.resetAndDestroy();
   }
 
-  /** Whether a later request of the connection is being executed. */
+  /** Whether a later request of the connection is being executed, or will be. */
   private isFollowed(request: PendingRequest): boolean {
-    const position = this.requests.indexOf(request);
-    return this.requests.slice(position + 1).some(({ state }) => state === 'started');
+    const later = this.requests.slice(this.requests.indexOf(request) + 1);
+    return later.some(
+      ({ state }) => state === 'started' || (state === 'waiting' && !this.isClosing),
+    );
   }
 
   private closeWhenAnswered(): void {
