--- a/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
+++ b/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
@@ -173,7 +173,6 @@
       relayed: undefined,
       signal: new AbortController().signal,
       passOn: () => true,
-      isFollowed: () => false,
     };
     const statement = { attemptsMade: 0, configurationVersion: 1 };
     return peerRelay.send({ exchange, kind, deadline, statement, needsAuthorization: false });
--- a/packages/gateway/src/callers/CallerConnection.ts
+++ b/packages/gateway/src/callers/CallerConnection.ts
@@ -94,7 +94,7 @@
 
   /**
    * Decides whether the answer that is about to be written closes the connection. It does not while
-   * a later request is being executed: the last of those closes it.
+   * a later request has been read whole: the last of those closes it.
    *
    * @param wantsClose - whether the connection should end as soon as possible
    */
@@ -106,12 +106,6 @@
     return true;
   }
 
-  /** Whether a later request of the connection is being executed. */
-  public isFollowed(request: PendingRequest): boolean {
-    const position = this.requests.indexOf(request);
-    return this.requests.slice(position + 1).some(({ state }) => state === 'started');
-  }
-
   /** Starts no further request: the connection is about to end. */
   public startNoMore(): void {
     this.isClosing = true;
@@ -136,8 +130,8 @@
 
   /**
    * Ends the connection in place of an answer or of the rest of one. The connection is reset, since
-   * an answer without a length would look whole if its connection ended in the ordinary way.
-   * Answers before it are written first.
+   * to HTTP/1.0 an answer without a length would look whole if its connection ended in the ordinary
+   * way. Answers before it are written first.
    */
   public cut(request: PendingRequest): void {
     this.isClosing = true;
@@ -145,6 +139,19 @@
     else this.finish(request);
   }
 
+  /** Resets the connection if an answer was begun on it and is not whole yet. */
+  public resetHalfAnswered(): void {
+    if (this.requests[0]?.stage === 'answering') this.socket.resetAndDestroy();
+  }
+
+  /** Whether a later request of the connection is being executed, or will be. */
+  private isFollowed(request: PendingRequest): boolean {
+    const later = this.requests.slice(this.requests.indexOf(request) + 1);
+    return later.some(
+      ({ state }) => state === 'started' || (state === 'waiting' && !this.isClosing),
+    );
+  }
+
   private closeWhenAnswered(): void {
     if (!this.isClosing && !this.hasEnded) return;
     const owed = this.isClosing
--- a/packages/gateway/src/execution/AttemptResultHandler.ts
+++ b/packages/gateway/src/execution/AttemptResultHandler.ts
@@ -77,10 +77,6 @@
       answer.bodyRest?.destroy();
       return this.context.ending.handleFailure('unsigned-answer');
     },
-    closing: (answer) => {
-      this.context.ending.keepAnswer(answer);
-      return RETRY;
-    },
   };
 
   constructor(
@@ -126,12 +122,11 @@
   }
 
   private handleAnswer(answer: TargetAnswer): ExecutionStep {
-    const { exchange, fingerprint, route } = this.plan;
+    const { fingerprint, route } = this.plan;
     this.parts.crashes.recordAnswer(fingerprint);
     if (answer.isSigned) {
       this.parts.answerSizes?.record(route.name, lengthOf(answer));
     }
-    const verdict = judgeAnswer(answer, isIdempotent(this.plan) && exchange.isFollowed());
-    return this.answerHandlers[verdict](answer);
+    return this.answerHandlers[judgeAnswer(answer)](answer);
   }
 }
