Keep the registry's position before removals that are held back after an outage

Cause: after an outage a reader applied only the entries that were present, but took over the end of the log as its position. A daemon that fetched its state in the next two seconds got that position with the removed target still listed, read on from there, and never read the removal.

Change: a position means that all changes up to it are applied, so it stays until the removals are. Each daemon that reads from there finds them itself. They are held back until two seconds after the first answer of the store that a daemon knows of, its own or a peer's (StoreContact), so that all end together. The read at the end is an ordinary one from the old position, and announces all changes since then: a peer may have missed what was announced meanwhile. A peer's state of an earlier position than what this daemon has applied adds targets and removes none.

--- a/packages/gateway/src/__tests__/unit/MemoryStore.ts
+++ b/packages/gateway/src/__tests__/unit/MemoryStore.ts
@@ -21,6 +21,9 @@
 
   public calls = 0;
 
+  /** Number of the calls that read the registry. */
+  public registryReads = 0;
+
   public restorations = 0;
 
   public log: TargetChange[] = [];
@@ -51,6 +54,7 @@
   }
 
   public async readTargets(after: number | undefined): Promise<TargetPage> {
+    this.registryReads += 1;
     this.check();
     if (after === undefined && this.failingWholeReads > 0) {
       this.failingWholeReads -= 1;
--- a/packages/gateway/src/state/GatewayState.ts
+++ b/packages/gateway/src/state/GatewayState.ts
@@ -6,6 +6,7 @@
 import type { StorePosition } from './GatewayStore.js';
 import type { KnownVersions, PeerAddress } from '../fleet/PeerMessage.js';
 import RefusedDocuments from './RefusedDocuments.js';
+import StoreContact from './StoreContact.js';
 import type { TargetChange, TargetEntry } from './TargetEntry.js';
 import type TargetTable from './TargetTable.js';
 
@@ -27,7 +28,11 @@
 
   private registryPosition: StorePosition = NO_VERSION;
 
-  private confirmedAt = Number.NEGATIVE_INFINITY;
+  /** Position up to which targets that joined are known; removals before it may be held back. */
+  private presencesPosition: StorePosition = NO_VERSION;
+
+  /** Contact of the fleet with the store, which confirms this state. */
+  public readonly storeContact: StoreContact;
 
   /** Resolve the promises that wait until requests can be served. */
   private waiters: (() => void)[] = [];
@@ -37,10 +42,12 @@
   constructor(
     private readonly decode: (document: string) => GatewayConfiguration,
     private readonly targets: TargetTable,
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly logger: Logger,
     private readonly onTargetsChanged: (changes: readonly TargetChange[]) => void,
-  ) {}
+  ) {
+    this.storeContact = new StoreContact(clock);
+  }
 
   public get configuration(): GatewayConfiguration | undefined {
     return this.activeConfiguration;
@@ -50,6 +57,7 @@
     return this.activeDocument;
   }
 
+  /** Position in the registry up to which all changes are applied, removals included. */
   public get position(): StorePosition {
     return this.registryPosition;
   }
@@ -81,13 +89,13 @@
     return {
       configuration: this.activeConfiguration?.version ?? NO_VERSION,
       targets: this.registryPosition,
-      ageMilliseconds: Math.min(1e9, Math.round(this.clock.now() - this.confirmedAt)),
+      ageMilliseconds: Math.min(1e9, Math.round(this.storeContact.ageMilliseconds)),
     };
   }
 
   /** Records that the store confirmed this state so long ago, directly or through a peer. */
   public confirm(ageMilliseconds: number): void {
-    this.confirmedAt = Math.max(this.confirmedAt, this.clock.now() - ageMilliseconds);
+    this.storeContact.record(ageMilliseconds);
   }
 
   /**
@@ -110,7 +118,7 @@
     });
   }
 
-  /** Replaces the registry with a snapshot, unless the snapshot is older. */
+  /** Replaces the registry with a snapshot of the store, unless the snapshot is older. */
   public replaceTargets(
     entries: readonly TargetEntry[],
     position: StorePosition,
@@ -120,6 +128,21 @@
     return this.changeTargets(this.targets.replace(entries), position, source);
   }
 
+  /**
+   * Takes over the registry of a peer. It removes targets only if it is of a later position than all
+   * that this daemon has applied; the peer may not have heard of the others yet.
+   */
+  public adoptTargets(
+    entries: readonly TargetEntry[],
+    position: StorePosition,
+    peer: string,
+  ): void {
+    if (position < this.registryPosition) return;
+    const isLater = position > this.registryPosition && position >= this.presencesPosition;
+    if (isLater) this.replaceTargets(entries, position, peer);
+    else this.addTargets(entries.map(toPresence), position, peer);
+  }
+
   /** Applies changes that follow the current position; returns those that had an effect. */
   public applyChanges(
     changes: readonly TargetChange[],
@@ -130,6 +153,21 @@
     return this.changeTargets(this.targets.apply(changes), position, source);
   }
 
+  /**
+   * Applies the entries among changes, and holds the removals back: the position stays, so that they
+   * are read again. Returns the changes that had an effect.
+   */
+  public addTargets(
+    changes: readonly TargetChange[],
+    position: StorePosition,
+    source: string,
+  ): readonly TargetChange[] {
+    if (position < this.registryPosition) return [];
+    this.presencesPosition = Math.max(this.presencesPosition, position);
+    const presences = changes.filter(({ kind }) => kind === 'present');
+    return this.changeTargets(this.targets.apply(presences), this.registryPosition, source);
+  }
+
   public snapshot(peers: readonly PeerAddress[]): StateSnapshot {
     return {
       document: this.activeDocument,
@@ -180,3 +218,7 @@
     }
   }
 }
+
+function toPresence(entry: TargetEntry): TargetChange {
+  return { kind: 'present', entry };
+}
--- a/packages/gateway/src/state/PeerStateFetcher.ts
+++ b/packages/gateway/src/state/PeerStateFetcher.ts
@@ -33,7 +33,7 @@
       const snapshot = await fetchState(address, new AbortController().signal);
       if (snapshot.document !== undefined) state.applyDocument(snapshot.document, address);
       if (snapshot.versions.targets >= 0) {
-        state.replaceTargets(snapshot.targets, snapshot.versions.targets, address);
+        state.adoptTargets(snapshot.targets, snapshot.versions.targets, address);
         state.confirm(snapshot.versions.ageMilliseconds);
       }
       members.addAddresses(snapshot.peers);
--- a/packages/gateway/src/state/RegistryReader.ts
+++ b/packages/gateway/src/state/RegistryReader.ts
@@ -3,16 +3,12 @@
 import type FleetMembers from '../fleet/FleetMembers.js';
 import type { PeerSender } from '../fleet/PeerLink.js';
 import type GatewayState from './GatewayState.js';
-import type { GatewayStore, TargetPage } from './GatewayStore.js';
+import type { GatewayStore, StorePosition, TargetPage } from './GatewayStore.js';
+import { REREGISTRATION_MILLISECONDS } from './StoreContact.js';
 import type { TargetChange } from './TargetEntry.js';
 
-/** Time in which entries that expired or were lost in an outage of the store are written again. */
-const REREGISTRATION_MILLISECONDS = 2_000;
-/** State this old means that the store was unavailable: removals may be expired entries. */
-const OUTAGE_AGE_MILLISECONDS = 3_500;
-
-/** Why entries may be missing from the store for a while. */
-type StoreFailure = 'outage' | 'restoration';
+/** Pause between two reads, well under the time in which drains must be known. */
+const READ_INTERVAL_MILLISECONDS = 600;
 
 export interface RegistryReaderParts {
   readonly store: GatewayStore;
@@ -24,33 +20,43 @@
 }
 
 export default class RegistryReader {
-  /** Set after a failure of the store, until the whole registry has been read. */
-  private awaitedAfter: StoreFailure | undefined;
+  /** Restorations of the store that this daemon has found out about, and when the last one was. */
+  private restorations = 0;
+
+  private restoredAt = Number.NEGATIVE_INFINITY;
+
+  private isHoldingRemovals = false;
 
   constructor(private readonly parts: RegistryReaderParts) {}
 
   /**
-   * Reads and applies what changed.
+   * Reads and applies what changed. Removals are held back for a while after an outage or a
+   * restoration of the store, until targets have written their entries again.
    *
    * @param onAnswer - called when the store has answered
    * @throws CactusrunError when the store refuses or does not answer
    */
   public async read(onAnswer: () => void, signal: AbortSignal): Promise<void> {
-    const { store, state } = this.parts;
+    const { store, state, clock } = this.parts;
     const position = state.position < 0 ? undefined : state.position;
-    const wasUnavailable =
-      position !== undefined && state.versions().ageMilliseconds > OUTAGE_AGE_MILLISECONDS;
-    if (this.awaitedAfter !== undefined && !wasUnavailable) {
-      await this.readWhole(this.awaitedAfter, signal);
-      onAnswer();
-      return;
-    }
     const page = await store.readTargets(position, signal);
     onAnswer();
-    if (page.isRestored || wasUnavailable) await this.awaitRegistrations(page, signal);
+    state.confirm(0);
+    if (page.isRestored) this.recordRestoration();
+    const mayReturn = position !== undefined && clock.now() < this.heldUntil;
+    this.isHoldingRemovals = mayReturn && removesTargets(page);
+    if (this.isHoldingRemovals) this.addAndAnnounce(page);
     else this.applyAndAnnounce(page);
   }
 
+  /** Pause until the next read; removals that are held back are read again once they may be applied. */
+  public get pauseMilliseconds(): number {
+    const heldMilliseconds = this.heldUntil - this.parts.clock.now();
+    return this.isHoldingRemovals
+      ? Math.min(READ_INTERVAL_MILLISECONDS, heldMilliseconds)
+      : READ_INTERVAL_MILLISECONDS;
+  }
+
   /** Tells the peers which versions this daemon has; those that lack them fetch its state. */
   public announceVersions(): void {
     const { state, members, link, selfName } = this.parts;
@@ -63,59 +69,52 @@
     });
   }
 
-  /**
-   * Applies what the store holds after an outage. Targets write their entries again soon: until then
-   * none is removed.
-   */
-  private async awaitRegistrations(page: TargetPage, signal: AbortSignal): Promise<void> {
-    const { state, clock } = this.parts;
-    // The other readers find out about a restoration as long as the position is from before it.
-    const position = page.isRestored ? state.position : page.position;
-    const changes = page.changes.filter(isPresence);
-    this.applyAndAnnounce({ ...page, position, isWhole: false, changes });
-    this.awaitedAfter = page.isRestored ? 'restoration' : 'outage';
-    await clock.sleep(REREGISTRATION_MILLISECONDS, signal);
-    await this.readWhole(this.awaitedAfter, signal);
+  /** Monotonic time until which removals are held back. */
+  private get heldUntil(): number {
+    const { awaitsEntriesUntil } = this.parts.state.storeContact;
+    return Math.max(awaitsEntriesUntil, this.restoredAt + REREGISTRATION_MILLISECONDS);
+  }
+
+  private recordRestoration(): void {
+    const { store, clock } = this.parts;
+    if (store.restorations === this.restorations) return;
+    this.restorations = store.restorations;
+    this.restoredAt = clock.now();
   }
 
-  /** Reads the whole registry, in which all targets that live are listed again. */
-  private async readWhole(after: StoreFailure, signal: AbortSignal): Promise<void> {
-    const page = await this.parts.store.readTargets(undefined, signal);
-    this.awaitedAfter = undefined;
-    if (after === 'outage') {
-      this.applyAndAnnounce(page);
+  private addAndAnnounce(page: TargetPage): void {
+    const { state } = this.parts;
+    const added = state.addTargets(page.changes, page.position, 'store');
+    this.announce(state.position, added);
+  }
+
+  private applyAndAnnounce(page: TargetPage): void {
+    const { state } = this.parts;
+    const after = state.position;
+    if (!page.isWhole) {
+      state.applyChanges(page.changes, page.position, 'store');
+      // All of them: a peer may have missed what was announced while removals were held back.
+      this.announce(after, page.changes);
       return;
     }
-    // Peers fetch all: one that missed the changes announced before has the same position.
-    this.apply(page);
-    this.announceVersions();
+    const entries = page.changes.flatMap((change) =>
+      change.kind === 'present' ? [change.entry] : [],
+    );
+    const effective = state.replaceTargets(entries, page.position, 'store');
+    if (after < 0) this.announce(after, effective);
+    else this.announceVersions();
   }
 
-  private applyAndAnnounce(page: TargetPage): void {
+  private announce(after: StorePosition, changes: readonly TargetChange[]): void {
     const { state, members, link, selfName } = this.parts;
-    const after = state.position;
-    const changes = this.apply(page);
     const versions = state.versions();
     const update = { kind: 'news', sender: selfName, versions, after, changes } as const;
     const isSent = link.send(members.liveAddresses(), update);
     if (!isSent) this.announceVersions();
   }
-
-  /** Returns the changes that had an effect. */
-  private apply(page: TargetPage): readonly TargetChange[] {
-    const { state } = this.parts;
-    const effective = page.isWhole
-      ? state.replaceTargets(
-          page.changes.flatMap((change) => (change.kind === 'present' ? [change.entry] : [])),
-          page.position,
-          'store',
-        )
-      : state.applyChanges(page.changes, page.position, 'store');
-    state.confirm(0);
-    return effective;
-  }
 }
 
-function isPresence(change: TargetChange): boolean {
-  return change.kind === 'present';
+/** Whether targets may be removed by the page: those that a whole registry lacks are. */
+function removesTargets({ isWhole, changes }: TargetPage): boolean {
+  return isWhole || changes.some(({ kind }) => kind === 'removed');
 }
--- a/packages/gateway/src/state/StateFollower.ts
+++ b/packages/gateway/src/state/StateFollower.ts
@@ -15,8 +15,6 @@
 import RegistryReader from './RegistryReader.js';
 import StoreAvailability from './StoreAvailability.js';
 
-/** Pause between two reads of the registry, well under the time in which drains must be known. */
-const REGISTRY_READ_MILLISECONDS = 600;
 /** Age of the last update at which a daemon other than the first reads by itself. */
 const STALE_MILLISECONDS = 1_100;
 /** Additional age per rank, for the first ranks and for those behind them. */
@@ -158,7 +156,7 @@
       await this.registry.read(() => this.availability.recordSuccess(), signal);
       const pause = state.lacksUsableDocument
         ? this.pacer.nextPause('reading-targets')
-        : REGISTRY_READ_MILLISECONDS;
+        : this.registry.pauseMilliseconds;
       await clock.sleep(pause, signal);
     } catch (error) {
       if (signal.aborted) return;
