Refuse a change whose operation lacks a field, and go on

Callers saw: after another writer appended a change such as {"kind":"create-contract"} without a contract, or with a service that is no text or nested deeply, no daemon followed the log any more: each reads the record, fails, waits and reads it again, also after a restart, and no later change takes effect.

Cause: decodeRecord checks only the kind of an operation; the fold then reads contract.service, and describes the operation in a template, which throws for such values (TypeError, or RangeError for a nesting of 20,000). The exception leaves ConfigurationStore.apply without progress, and LogFollower takes it for an unreachable log.

The fold now checks the shape of each operation of a known kind and remembers the change as refused (operation-invalid). Verdicts depend on the record alone, so that all daemons agree; what was refused or accepted by earlier builds still is.

--- a/packages/configuration/src/Change.ts
+++ b/packages/configuration/src/Change.ts
@@ -34,7 +34,8 @@
   | 'contract-invalid'
   | 'hold-unknown'
   | 'base-too-old'
-  | 'operation-unknown';
+  | 'operation-unknown'
+  | 'operation-invalid';
 
 /** Whether a change was accepted, by the order of the log alone; the same on every host. */
 export type ChangeVerdict =
--- a/packages/configuration/src/foldChange.ts
+++ b/packages/configuration/src/foldChange.ts
@@ -5,6 +5,7 @@
 import type { OperationResult } from './applyOperation.js';
 import { applyOperation, serviceOf } from './applyOperation.js';
 import { revokeExcessLeases } from './foldEjection.js';
+import isValidOperation from './isValidOperation.js';
 
 /** Maximum number of changes remembered by identity. */
 const REMEMBERED_CHANGE_LIMIT = 1000;
@@ -79,6 +80,16 @@
   return { ...state, drained, claims: filterMap(state.claims, (_, key) => targets.has(key)) };
 }
 
+/** Refuses a change with an operation that cannot even be described: a field is no text. */
+function refuseInvalid(
+  state: ConfigurationState,
+  { identity, author }: Change,
+  offset: number,
+): ConfigurationState {
+  const { verdict } = refused(state, 'operation-invalid', 'an operation lacks a field of its kind');
+  return rememberChange(state, { identity, author, offset, verdict, summary: 'unreadable' });
+}
+
 /** Folds a change record into the state. */
 export function foldChange(
   state: ConfigurationState,
@@ -86,6 +97,7 @@
   offset: number,
 ): ConfigurationState {
   if (state.remembered.has(change.identity)) return state;
+  if (!change.operations.every(isValidOperation)) return refuseInvalid(state, change, offset);
   const evaluation = evaluateChange(state, change, offset);
   const entry: RememberedChange = {
     identity: change.identity,
