Refuse packed states of another shape and of records to come

A daemon that recovers from it adopts it: a state without gaps or with a contract that is a number throws in the tables afterwards, and a state that claims an offset of 900,000 in a log of ten records makes the daemon take all later records for known ones, so that no change takes effect there any more.

Not covered: a deep nesting inside a field that this version doesn't know.

--- a/packages/configuration/src/Snapshot.ts
+++ b/packages/configuration/src/Snapshot.ts
@@ -4,8 +4,8 @@
 import type { ConfigurationState } from './ConfigurationState.js';
 import type { LogEntry, SnapshotPartRecord } from './LogRecord.js';
 import { decodeRecord } from './LogRecord.js';
+import { FORMAT_VERSION, StateSchema } from './StateSchema.js';
 
-const FORMAT_VERSION = 1;
 const MAXIMUM_PART_CHARACTERS = 256 * 1024;
 const MAXIMUM_SNAPSHOT_BYTES = 256 * 1024 * 1024;
 
@@ -20,23 +20,26 @@
   return gzipSync(JSON.stringify({ version: FORMAT_VERSION, ...plain }));
 }
 
-/** Reads a state from bytes; undefined if they are damaged or of another format version. */
+/** Reads a state from bytes; undefined if they are damaged or of another format. */
 export function unpackState(bytes: Uint8Array): ConfigurationState | undefined {
   try {
     const text = gunzipSync(bytes, { maxOutputLength: MAXIMUM_SNAPSHOT_BYTES }).toString();
-    const plain = JSON.parse(text);
-    if (plain.version !== FORMAT_VERSION || !Number.isInteger(plain.offset)) return undefined;
-    const maps = Object.fromEntries(MAP_FIELDS.map((field) => [field, new Map(plain[field])]));
+    const { data: plain } = StateSchema.safeParse(JSON.parse(text));
+    if (plain === undefined) return undefined;
     const { offset, revision, forgottenOffset, gaps } = plain;
-    const drained = new Set(plain.drained);
-    return Object.freeze({
+    const state = {
       offset,
       revision,
       forgottenOffset,
       gaps,
-      drained,
-      ...maps,
-    } as unknown as ConfigurationState);
+      drained: new Set(plain.drained),
+      contracts: new Map(plain.contracts),
+      claims: new Map(plain.claims),
+      holds: new Map(plain.holds),
+      remembered: new Map(plain.remembered),
+      touched: new Map(plain.touched),
+    };
+    return Object.freeze(state as unknown as ConfigurationState);
   } catch {
     return undefined;
   }
@@ -101,6 +104,8 @@
     const state = joinParts(group.map(({ part }) => part));
     const last = group.at(-1);
     if (state === undefined || last === undefined) return [];
+    // A state cannot cover records that follow it.
+    if (state.offset >= last.offset) return [];
     return [{ state, isRebase: last.part.isRebase, completedAt: last.offset }];
   });
 }
