Believe an answer on a kept connection only if it names its request

Callers saw: when a faulty upstream writes an earlier answer once more on a kept connection, the next request on it gets that answer. A refusal (upstream-state: shed) makes the daemon report the request as not run, or send it to a second target, while the first one runs it; a stale 200 is handed to the caller as its own answer, body and all. Bytes that came while the connection was idle went unnoticed, and the connection was used again.

Cause: Node's client takes the next answer on a connection for that of the request written last, and nothing in an answer names the request.

The daemon now sends cactusrun-request-id with each attempt, and an upstream repeats it. An answer that names another request is not believed, and neither is one without a name on a connection that had a request before: the request becomes 'broken', thus unknown, never not run. An upstream that repeats no identifiers is believed on new connections only and its connections are not kept, so that it works as before at one connection a request.

The probes (undici) still believe what comes on a kept connection; they show a load and a drain only.

--- a/packages/daemon/src/HttpTargetConnector.ts
+++ b/packages/daemon/src/HttpTargetConnector.ts
@@ -3,21 +3,18 @@
  * connection is new and when it is ready: a request that fails before that has provably not run.
  * It also never retries a request by itself.
  */
+import { randomUUID } from 'node:crypto';
 import type { ClientRequest } from 'node:http';
-import { Agent, request as httpRequest } from 'node:http';
+import { request as httpRequest } from 'node:http';
 import type { Clock, ConnectionAge, Target } from '@cactusrun/core';
 import { CactusrunError, describeError, parseAddress } from '@cactusrun/core';
 import type { Attempt, TargetConnector, TargetResult } from '@cactusrun/requests';
-import { joinHeaders } from './headers.js';
+import { DEADLINE_HEADER, joinHeaders, REQUEST_ID_HEADER, ZONE_HEADER } from './headers.js';
+import TargetAgent from './TargetAgent.js';
 import TargetExchange from './TargetExchange.js';
 
-/** Shorter than the usual keep-alive timeout of servers, so that this side closes first. */
-const IDLE_TIMEOUT_MILLISECONDS = 3_000;
-const ZONE_HEADER = 'cactusrun-caller-zone';
-const DEADLINE_HEADER = 'cactusrun-deadline-milliseconds';
-
 export default class HttpTargetConnector implements TargetConnector {
-  private readonly agents = new Map<string, Agent>();
+  private readonly agents = new Map<string, TargetAgent>();
 
   private readonly lastAnswerTimes = new Map<string, number>();
 
@@ -38,9 +35,10 @@
         resolve({ kind: 'connect-failed', detail: 'cancelled before it was sent' });
         return;
       }
+      const requestId = randomUUID();
       let request: ClientRequest;
       try {
-        request = this.open(target, attempt);
+        request = this.open(target, attempt, requestId);
       } catch (error) {
         resolve({ kind: 'connect-failed', detail: describeError(error) });
         return;
@@ -49,7 +47,13 @@
         if (result.kind === 'answered') this.lastAnswerTimes.set(target.address, this.clock.now());
         resolve(result);
       };
-      const exchange = new TargetExchange(request, this.clock, settle, onSent);
+      const exchange = new TargetExchange({
+        request,
+        requestId,
+        clock: this.clock,
+        resolve: settle,
+        onSent,
+      });
       exchange.run(attempt, signal);
     });
   }
@@ -66,7 +70,7 @@
   }
 
   /** @throws Error when the target has no address, or when Node refuses to write the request */
-  private open(target: Target, attempt: Attempt): ClientRequest {
+  private open(target: Target, attempt: Attempt, requestId: string): ClientRequest {
     const address = parseAddress(target.address);
     if (address === undefined) {
       throw new CactusrunError('not an address', { step: 'connecting', peer: target.address });
@@ -76,6 +80,7 @@
       ...attempt.headers,
       [ZONE_HEADER, attempt.callerZone],
       [DEADLINE_HEADER, String(remaining)],
+      [REQUEST_ID_HEADER, requestId],
       ...(attempt.body.isWhole
         ? [['content-length', String(attempt.body.head.length)] as const]
         : []),
@@ -89,18 +94,11 @@
     });
   }
 
-  private agentOf(target: Target, service: string): Agent {
+  private agentOf(target: Target, service: string): TargetAgent {
     const key = `${service} ${target.address}`;
     const known = this.agents.get(key);
     const maxSockets = this.connectionsOf(service);
-    const agent =
-      known ??
-      new Agent({
-        keepAlive: true,
-        maxSockets,
-        scheduling: 'lifo',
-        timeout: IDLE_TIMEOUT_MILLISECONDS,
-      });
+    const agent = known ?? new TargetAgent(maxSockets);
     agent.maxSockets = maxSockets;
     this.agents.set(key, agent);
     return agent;
--- a/packages/daemon/src/TargetExchange.ts
+++ b/packages/daemon/src/TargetExchange.ts
@@ -5,23 +5,31 @@
 import type { Clock, ConnectionAge } from '@cactusrun/core';
 import type { Attempt, TargetResult } from '@cactusrun/requests';
 import { discardBody, listHeaders } from '@cactusrun/requests';
+import { REQUEST_ID_HEADER, STATE_HEADER } from './headers.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
-/** Response header with which an upstream states that it did not run a request. */
-const STATE_HEADER = 'upstream-state';
 const SHED_STATES: readonly string[] = ['shed', 'draining'];
 
+export interface TargetExchangeParts {
+  readonly request: ClientRequest;
+  /** Sent with the request; the answer repeats it. */
+  readonly requestId: string;
+  readonly clock: Clock;
+  readonly resolve: (result: TargetResult) => void;
+  readonly onSent: (connection: ConnectionAge) => void;
+}
+
 export default class TargetExchange {
-  private isSent = false;
+  private readonly request: ClientRequest;
+
+  /** Undefined until the request is sent. */
+  private connection: ConnectionAge | undefined;
 
   private isSettled = false;
 
-  constructor(
-    private readonly request: ClientRequest,
-    private readonly clock: Clock,
-    private readonly resolve: (result: TargetResult) => void,
-    private readonly onSent: (connection: ConnectionAge) => void,
-  ) {}
+  constructor(private readonly parts: TargetExchangeParts) {
+    this.request = parts.request;
+  }
 
   public run(attempt: Attempt, signal: AbortSignal): void {
     const { request } = this;
@@ -39,7 +47,7 @@
       this.write(attempt, 'reused');
       return;
     }
-    const cancel = this.clock.after(CONNECT_TIMEOUT_MILLISECONDS, () =>
+    const cancel = this.parts.clock.after(CONNECT_TIMEOUT_MILLISECONDS, () =>
       this.fail('broken', 'no connection in time'),
     );
     this.request.on('close', cancel);
@@ -51,8 +59,8 @@
 
   private write(attempt: Attempt, connection: ConnectionAge): void {
     if (this.isSettled) return;
-    this.isSent = true;
-    this.onSent(connection);
+    this.connection = connection;
+    this.parts.onSent(connection);
     const { head, rest } = attempt.body;
     if (rest === undefined) {
       this.request.end(head);
@@ -69,14 +77,19 @@
       response.destroy();
       return;
     }
+    if (!this.isBelieved(response)) {
+      response.destroy();
+      this.fail('broken', 'the answer does not name the request');
+      return;
+    }
     this.isSettled = true;
     const state = response.headers[STATE_HEADER];
     if (typeof state === 'string' && SHED_STATES.includes(state)) {
-      discardBody(response, this.clock, () => this.request.destroy());
-      this.resolve({ kind: 'shed', isLeaving: state === 'draining' });
+      discardBody(response, this.parts.clock, () => this.request.destroy());
+      this.parts.resolve({ kind: 'shed', isLeaving: state === 'draining' });
       return;
     }
-    this.resolve({
+    this.parts.resolve({
       kind: 'answered',
       status: response.statusCode ?? 0,
       headers: listHeaders(response.rawHeaders),
@@ -84,10 +97,23 @@
     });
   }
 
+  /**
+   * Whether the answer belongs to this request. An upstream that names no requests is believed on a
+   * new connection, which had no other one, and gets a new connection each time.
+   */
+  private isBelieved(response: IncomingMessage): boolean {
+    const named = response.headers[REQUEST_ID_HEADER];
+    if (named !== undefined) return named === this.parts.requestId;
+    this.request.shouldKeepAlive = false;
+    return this.connection === 'new';
+  }
+
   private fail(kind: 'broken' | 'timeout', detail: string): void {
     if (!this.request.destroyed) this.request.destroy();
     if (this.isSettled) return;
     this.isSettled = true;
-    this.resolve(this.isSent ? { kind, detail } : { kind: 'connect-failed', detail });
+    this.parts.resolve(
+      this.connection !== undefined ? { kind, detail } : { kind: 'connect-failed', detail },
+    );
   }
 }
--- a/packages/daemon/src/__tests__/unit/HttpTargetConnector.test.ts
+++ b/packages/daemon/src/__tests__/unit/HttpTargetConnector.test.ts
@@ -11,7 +11,10 @@
 const CLOSED_PORT = 18_099;
 const HEAD = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n';
 
-/** What a target writes on a request; undefined closes the connection, silence writes nothing. */
+/**
+ * What a target writes on a request, with its identifier in place of {id}; undefined closes the
+ * connection, silence writes nothing.
+ */
 type Answer = string | 'silence' | undefined;
 
 interface Case {
@@ -40,7 +43,7 @@
   },
   {
     name: 'answers with status 503 without an upstream state',
-    answers: ['HTTP/1.1 503 No\r\nContent-Length: 5\r\n\r\nshade'],
+    answers: ['HTTP/1.1 503 No\r\nCactusrun-Request-Id: {id}\r\nContent-Length: 5\r\n\r\nshade'],
     kind: 'answered',
     body: 'shade',
   },
@@ -53,6 +56,10 @@
   { name: 'does not answer', answers: ['silence'], kind: 'timeout' },
 ];
 
+function idIn(bytes: Buffer): string {
+  return /cactusrun-request-id: (\S*)/i.exec(bytes.toString())?.[1] ?? '';
+}
+
 function attemptOf(patch: Partial<Attempt> = {}): Attempt {
   return {
     service: 'stock',
@@ -86,7 +93,7 @@
             requests.push(bytes.toString());
             answers.forEach((answer) => {
               if (answer === undefined) setImmediate(() => socket.destroy());
-              else if (answer !== 'silence') socket.write(answer);
+              else if (answer !== 'silence') socket.write(answer.replace('{id}', idIn(bytes)));
             });
           });
         });
@@ -178,6 +185,7 @@
     expect(text).toContain('X-Kept: yes'.toLowerCase());
     expect(text).toContain('cactusrun-caller-zone: east-a');
     expect(text).toMatch(/cactusrun-deadline-milliseconds: \d+/);
+    expect(text).toMatch(/cactusrun-request-id: [\w-]+\r/);
     expect(text).toContain('begin-');
   });
 });
--- a/packages/daemon/src/headers.ts
+++ b/packages/daemon/src/headers.ts
@@ -5,6 +5,14 @@
 /** Fields with this prefix are not forwarded from callers to upstreams, nor in reverse. */
 const CACTUSRUN_PREFIX = 'cactusrun-';
 
+/** Fields of the protocol with upstreams; `docs/OUTCOMES.md` describes it. */
+export const ZONE_HEADER = 'cactusrun-caller-zone';
+export const DEADLINE_HEADER = 'cactusrun-deadline-milliseconds';
+/** Identifies one attempt; an upstream repeats it in its answer. */
+export const REQUEST_ID_HEADER = 'cactusrun-request-id';
+/** States in an answer that the upstream did not run the request. */
+export const STATE_HEADER = 'upstream-state';
+
 /** The fields to forward: without hop-by-hop fields and those with the `cactusrun-` prefix. */
 export function forwardedHeaders(fields: readonly HeaderField[]): readonly HeaderField[] {
   return endToEndHeaders(fields, (name) => name.startsWith(CACTUSRUN_PREFIX));
--- a/packages/stand-ins/src/StandInUpstream.ts
+++ b/packages/stand-ins/src/StandInUpstream.ts
@@ -51,6 +51,8 @@
 /** Headers of the protocol with upstreams. */
 export const IDENTITY_HEADER = 'x-request-identity';
 export const STATE_HEADER = 'upstream-state';
+/** Identifies one attempt of the daemon; the answer repeats it. */
+export const REQUEST_ID_HEADER = 'cactusrun-request-id';
 /** Processing time at the target, in milliseconds. */
 export const WORK_HEADER = 'x-work-milliseconds';
 const ZONE_HEADER = 'cactusrun-caller-zone';
@@ -127,6 +129,8 @@
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const requestId = request.headers[REQUEST_ID_HEADER];
+    if (requestId !== undefined) response.setHeader(REQUEST_ID_HEADER, requestId);
     if (request.url === '/.health') await this.serveProbe(response);
     else if (this.faults.isDraining) shed(response, 'draining');
     else if (this.running >= this.options.slots) {
--- a/packages/stand-ins/src/__tests__/unit/StandInUpstream.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/StandInUpstream.test.ts
@@ -1,7 +1,11 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { Stop } from '@cactusrun/core';
 import { createRandom, systemClock } from '@cactusrun/core';
-import StandInUpstream, { IDENTITY_HEADER, STATE_HEADER } from '../../StandInUpstream.js';
+import StandInUpstream, {
+  IDENTITY_HEADER,
+  REQUEST_ID_HEADER,
+  STATE_HEADER,
+} from '../../StandInUpstream.js';
 
 const HOST = '127.0.77.7';
 const FIRST_PORT = 18_100;
@@ -34,7 +38,7 @@
     fetch(`http://${address}/orders`, {
       method: 'POST',
       body,
-      headers: { [IDENTITY_HEADER]: 'one' },
+      headers: { [IDENTITY_HEADER]: 'one', [REQUEST_ID_HEADER]: 'attempt-1' },
       ...(signal === undefined ? {} : { signal }),
     });
   const probe = async () => (await fetch(`http://${address}/.health`)).json();
@@ -45,6 +49,13 @@
     expect(upstream.runs).toHaveLength(1);
   });
 
+  it('repeats the identifier of the attempt in answers and refusals', async () => {
+    expect((await work()).headers.get(REQUEST_ID_HEADER)).toBe('attempt-1');
+    upstream.faults.isDraining = true;
+    const refusal = await work();
+    expect([refusal.status, refusal.headers.get(REQUEST_ID_HEADER)]).toEqual([503, 'attempt-1']);
+  });
+
   it('sheds requests above its slots, and answers probes while requests stall', async () => {
     upstream.faults.stalls = true;
     const controller = new AbortController();
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,6 +5,7 @@
 export {
   default as StandInUpstream,
   IDENTITY_HEADER,
+  REQUEST_ID_HEADER,
   STATE_HEADER,
   WORK_HEADER,
 } from './StandInUpstream.js';
