Pass on no answer whose end cannot be told from a broken connection

Callers saw: an upstream that crashes, or whose connection is reset, in the middle of an answer without a length or chunks gave its callers a complete success with half a body, although OUTCOMES.md says that a broken answer never ends as if whole.

Cause: such a body lasts until its connection closes, and Node 20 reports a FIN, and here a reset too, as its ordinary end.

An answer with neither a length nor chunks (of HTTP/1.0, or with another coding alike) is now refused at its head: the request is unknown and, if idempotent, goes to another target. HEAD, 204 and 304 have no body and pass; a refusal (upstream-state) needs no body either. What it costs: an upstream that always delimits by closing can't be used, and its answers count as broken connections for the detection of poison requests.

--- a/packages/daemon/src/TargetExchange.ts
+++ b/packages/daemon/src/TargetExchange.ts
@@ -5,6 +5,7 @@
 import type { Clock, ConnectionAge } from '@cactusrun/core';
 import type { Attempt, TargetResult } from '@cactusrun/requests';
 import { discardBody, listHeaders } from '@cactusrun/requests';
+import hasVisibleEnd from './hasVisibleEnd.js';
 import { REQUEST_ID_HEADER, STATE_HEADER } from './headers.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -78,17 +79,21 @@
       return;
     }
     if (!this.isBelieved(response)) {
-      response.destroy();
-      this.fail('broken', 'the answer does not name the request');
+      this.refuse(response, 'the answer does not name the request');
       return;
     }
-    this.isSettled = true;
     const state = response.headers[STATE_HEADER];
     if (typeof state === 'string' && SHED_STATES.includes(state)) {
+      this.isSettled = true;
       discardBody(response, this.parts.clock, () => this.request.destroy());
       this.parts.resolve({ kind: 'shed', isLeaving: state === 'draining' });
       return;
     }
+    if (!hasVisibleEnd(response, this.request.method)) {
+      this.refuse(response, 'the answer has neither a length nor chunks');
+      return;
+    }
+    this.isSettled = true;
     this.parts.resolve({
       kind: 'answered',
       status: response.statusCode ?? 0,
@@ -97,6 +102,11 @@
     });
   }
 
+  private refuse(response: IncomingMessage, detail: string): void {
+    response.destroy();
+    this.fail('broken', detail);
+  }
+
   /**
    * Whether the answer belongs to this request. An upstream that names no requests is believed on a
    * new connection, which had no other one, and gets a new connection each time.
