Answer a request whose handling fails

Now they get 502 (internal-error), which promises nothing, and the daemon logs request-handling-failed. The attempt that failed no longer stays counted as outstanding at its target; each such count made the target look fuller for good. Evidence: the two new cases of CallerServer.test.ts and the one of RequestProxy.test.ts failed before (no answer; one request outstanding for ever).

--- a/packages/gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -119,13 +119,24 @@
   });
 
   describe('a request whose handling fails', () => {
-    it('is logged with its identity and the cause', async () => {
+    beforeEach(() => {
       handle = async () => {
         throw new Error('no such port');
       };
-      await exchange(request(), never);
+    });
+
+    it('gets an answer that does not promise that it was not run', async () => {
+      const text = await exchange(request(), until('}\n'));
+      expect(text).toMatch(/^HTTP\/1.1 502 /);
+      expect(text).toContain('"reason":"internal-error"');
+      expect(text).toContain('"notRun":false');
+      expect(text.toLowerCase()).not.toContain('retry-after');
+    });
+
+    it('is logged with its identity and the cause', async () => {
+      await exchange(request(), until('}\n'));
       expect(warnings).toEqual([
-        { event: 'request-cut', request: 'a-1', reason: 'handling-failed', cause: 'no such port' },
+        { event: 'request-handling-failed', request: 'a-1', cause: 'no such port' },
       ]);
     });
   });
--- a/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
+++ b/packages/gateway/src/__tests__/unit/RequestProxy.test.ts
@@ -82,6 +82,17 @@
     });
   });
 
+  describe('a request whose sending fails', () => {
+    it('no longer counts as outstanding at its target', async () => {
+      fixture.script = async () => {
+        throw new Error('invalid header');
+      };
+      const handled = fixture.handle(fixture.createExchange('non-idempotent'));
+      await expect(handled).rejects.toThrow('invalid header');
+      expect(fixture.outstanding.listOwn()).toEqual({});
+    });
+  });
+
   describe('requests of a daemon that stops', () => {
     it('are refused while they have not been passed on', async () => {
       const exchange = fixture.createExchange('idempotent', { passOn: () => false });
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -52,7 +52,7 @@
 }
 
 /** Why a connection ends before the answer to its request does. */
-type CutReason = 'handling-failed' | 'answer-broke-off' | 'read-too-slowly';
+type CutReason = 'answer-broke-off' | 'read-too-slowly';
 
 /** One request on its way: the connection that it came on, and the response to write. */
 interface Incoming {
@@ -156,10 +156,20 @@
     });
     const incoming = { connection, request: pending, response };
     response.on('finish', () => connection.finish(incoming.request));
-    this.serve(request, incoming).catch((error: unknown) => {
-      this.recordCut(incoming, 'handling-failed', error);
-      connection.cut(incoming.request);
+    this.serve(request, incoming).catch((error: unknown) => this.endFailed(incoming, error));
+  }
+
+  /** Ends a request whose handling failed; its caller is told that it may have run. */
+  private endFailed(incoming: Incoming, error: unknown): void {
+    const { connection, request, response } = incoming;
+    const { counters, logger } = this.options;
+    counters.add('callers', 'handling-failed');
+    logger.warn('request-handling-failed', {
+      request: request.head.id,
+      cause: describeError(error),
     });
+    if (response.headersSent) connection.cut(request);
+    else this.writeRefusal(incoming, { reason: 'internal-error' });
   }
 
   private connectionOf(socket: Socket): CallerConnection {
@@ -303,13 +313,12 @@
   }
 
   /** Logs that a caller gets no complete answer although its connection has not ended. */
-  private recordCut({ response, request }: Incoming, reason: CutReason, error?: unknown): void {
-    const { counters, logger, names } = this.options;
+  private recordCut({ request }: Incoming, reason: CutReason, error?: unknown): void {
+    const { counters, logger } = this.options;
     counters.add('callers', reason);
     if (request.signal.aborted) return;
-    const id = response.req.headers[names.attemptId.toLowerCase()];
     const cause = error === undefined ? undefined : describeError(error);
-    logger.warn('request-cut', { request: String(id ?? ''), reason, cause });
+    logger.warn('request-cut', { request: request.head.id, reason, cause });
   }
 
   private closesWith({ connection, request, response }: Incoming): boolean {
--- a/packages/gateway/src/callers/Refusal.ts
+++ b/packages/gateway/src/callers/Refusal.ts
@@ -18,6 +18,7 @@
   | 'connection-broke'
   | 'timeout'
   | 'unsigned-answer'
+  | 'internal-error'
   | 'body-too-large'
   | 'headers-too-large'
   | 'malformed';
@@ -139,6 +140,12 @@
     retryAfterMilliseconds: 0,
     meaning: 'the answer was not a genuine answer of the target; it may have run',
   },
+  'internal-error': {
+    status: 502,
+    isNotRun: false,
+    retryAfterMilliseconds: 0,
+    meaning: 'the handling of the request failed in this daemon; it may have run',
+  },
   'body-too-large': {
     status: 413,
     isNotRun: true,
--- a/packages/gateway/src/execution/RunningAttempt.ts
+++ b/packages/gateway/src/execution/RunningAttempt.ts
@@ -52,10 +52,19 @@
   const startedAt = clock.now();
   const watch = watchAttempt(parts, pick, startedAt);
   attemptTracker.begin(pick.target, request.isRetry);
-  const exchange = async (): Promise<AttemptResult> => {
+  const send = async (): Promise<AttemptResult> => {
     const signal = AbortSignal.any([callerSignal, controller.signal]);
-    const result = await connections.send(pick.target.entry, request, signal);
-    watch.end();
+    try {
+      return await connections.send(pick.target.entry, request, signal);
+    } catch (error) {
+      attemptTracker.end(pick.target.entry.id, undefined, clock.now() - startedAt, NOTHING_STATED);
+      throw error;
+    } finally {
+      watch.end();
+    }
+  };
+  const exchange = async (): Promise<AttemptResult> => {
+    const result = await send();
     if (result.kind === 'answered' || result.kind === 'not-run') {
       recordAnswer(parts, pick, service, result, startedAt);
     } else {
