Deliver a relayed answer that has arrived whole when its peer leaves

A caller whose large answer had come whole from a peer, and waited for the caller to read it, was cut when that peer left the fleet. Where the rest was missing, the cut counted as the caller's doing.

Cause: PeerRelay.forget aborts the requests under way at the peer, and the exchange took every abort for a caller that has gone. It now gives the reason, TargetGoneError, and the exchange treats it as a broken connection: an answer that is whole stays, one that isn't is cut as a failure of the peer, and one that has not begun is broken, as before.

Found while looking for other places in which the end of one request reaches into another one.

--- a/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerRelay.test.ts
@@ -27,6 +27,8 @@
   idleMilliseconds: 5_000,
 };
 const RESERVED = new Set(['x-attempt', 'x-deadline', 'x-expected']);
+/** What is buffered of an answer before its caller gets any of it. */
+const BUFFERED_BYTES = 1_048_576;
 /** Larger than what is buffered whole. */
 const LARGE_BYTES = 1_500_000;
 
@@ -179,6 +181,32 @@
       expect(await relay.send(createRequest())).toMatchObject({ kind: 'broken' });
     });
 
+    describe('whose large answer waits for its caller when the peer is found to be gone', () => {
+      async function sendLarge(bodyRest: PassThrough): Promise<readonly [Buffer, PassThrough]> {
+        handlers.set(PORTS.first, async () => createAnswer({ bodyRest }));
+        const result = await relay.send(createRequest());
+        const { answer } = result as Extract<typeof result, { kind: 'answered' }>;
+        return [answer.bodyStart, answer.bodyRest as PassThrough];
+      }
+
+      it('gets it whole if it has arrived whole', async () => {
+        const body = Buffer.alloc(BUFFERED_BYTES + 2_000);
+        const [start, rest] = await sendLarge(new PassThrough().end(body));
+        await expect.poll(() => rest.writableEnded, { interval: 1 }).toBe(true);
+        relay.forget(`peer-${PORTS.first}`);
+        const parts: readonly Buffer[] = await rest.toArray();
+        expect(Buffer.concat([start, ...parts]).length).toBe(body.length + 4);
+      });
+
+      it('gets it cut off, as a failure of the peer, if the rest is missing', async () => {
+        const unfinished = new PassThrough();
+        unfinished.write(Buffer.alloc(LARGE_BYTES));
+        const [, rest] = await sendLarge(unfinished);
+        relay.forget(`peer-${PORTS.first}`);
+        await expect(rest.toArray()).rejects.toMatchObject({ isTargetFailure: true });
+      });
+    });
+
     it('gets a large answer as it arrives', async () => {
       handlers.set(PORTS.first, async () => {
         const bodyRest = new PassThrough();
--- a/packages/gateway/src/connections/TargetExchange.ts
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -20,6 +20,7 @@
   readTargetAnswer,
 } from './readTargetAnswer.js';
 import type { AttemptResult, OutgoingRequest, TargetFieldNames } from './TargetAttempt.js';
+import TargetGoneError from './TargetGoneError.js';
 import watchForOrderlyEnd from './watchForOrderlyEnd.js';
 
 /** Answers up to this size are buffered whole before the caller gets any of them. */
@@ -80,7 +81,7 @@
     return new Promise((resolve) => {
       this.resolve = resolve;
       const cancelTimer = clock.after(this.request.deadline - clock.now(), () => this.expire());
-      const onAbort = () => this.abandon({ kind: 'cancelled' }, 'caller disconnected', false);
+      const onAbort = () => this.cancel(signal.reason);
       signal.addEventListener('abort', onAbort, { once: true });
       this.stopWatching = () => {
         cancelTimer();
@@ -203,6 +204,11 @@
     this.abandon({ kind: 'timeout' }, 'deadline passed', !isCallerSlow);
   }
 
+  private cancel(reason: unknown): void {
+    if (reason instanceof TargetGoneError) this.fail(reason.message);
+    else this.abandon({ kind: 'cancelled' }, 'caller disconnected', false);
+  }
+
   private fail(detail: string): void {
     const { clock } = this.parts;
     const isDrop =
--- a/packages/gateway/src/relay/PeerRelay.ts
+++ b/packages/gateway/src/relay/PeerRelay.ts
@@ -9,6 +9,7 @@
 import type { CallerExchange, Refused } from '../callers/CallerExchange.js';
 import type { RefusalReason } from '../callers/Refusal.js';
 import type { AttemptResult, TargetAnswer } from '../connections/TargetAttempt.js';
+import TargetGoneError from '../connections/TargetGoneError.js';
 import type TargetConnections from '../connections/TargetConnections.js';
 import type EntryDirectory from '../fleet/EntryDirectory.js';
 import type { PeerDescription } from '../fleet/PeerMessage.js';
@@ -76,9 +77,9 @@
     return this.candidates(needsAuthorization).length > 0;
   }
 
-  /** Ends the requests under way at a peer that is gone. */
+  /** Ends the requests under way at a peer that is gone; answers that have arrived whole stay. */
   public forget(peer: string): void {
-    this.controllers.get(peer)?.abort();
+    this.controllers.get(peer)?.abort(new TargetGoneError(peer));
     this.controllers.delete(peer);
     this.avoidedUntil.delete(peer);
   }
