--- a/packages/gateway/src/connections/TargetExchange.ts
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -22,6 +22,7 @@
 } from './readTargetAnswer.js';
 import ShortPiecePacer from './ShortPiecePacer.js';
 import type { AttemptResult, OutgoingRequest, TargetFieldNames } from './TargetAttempt.js';
+import TargetGoneError from './TargetGoneError.js';
 import watchForOrderlyEnd from './watchForOrderlyEnd.js';
 
 /** Answers up to this size are buffered whole before the caller gets any of them. */
@@ -84,7 +85,7 @@
     return new Promise((resolve) => {
       this.resolve = resolve;
       const cancelTimer = clock.after(this.request.deadline - clock.now(), () => this.expire());
-      const onAbort = () => this.abandon({ kind: 'cancelled' }, 'caller disconnected', false);
+      const onAbort = () => this.cancel(signal.reason);
       signal.addEventListener('abort', onAbort, { once: true });
       this.stopWatching = () => {
         cancelTimer();
@@ -207,6 +208,11 @@
     this.abandon({ kind: 'timeout' }, 'deadline passed', !isCallerSlow);
   }
 
+  private cancel(reason: unknown): void {
+    if (reason instanceof TargetGoneError) this.fail(reason.message);
+    else this.abandon({ kind: 'cancelled' }, 'caller disconnected', false);
+  }
+
   private fail(detail: string): void {
     const { clock } = this.parts;
     const isDrop =
