Read the store as soon as a peer has an answer of it after an outage

Callers: a daemon that waited for its next try, up to 2.5 s, learned of removals so much later than its peers, and sent requests to targets that were gone.

Cause: the wait after a failed call ended only by time, also when an update or the state of a peer showed that the store answers again.

Change: StoreContact tells when an outage has ended, and the wait ends then. That happens once an outage, so a daemon that the store does not answer keeps its pace.

Evidence: the new test in removalsAfterOutage.test.ts failed before (no read within 650 ms of the peer's update, 13 reads before and after) and passes now.

--- a/packages/gateway/src/__tests__/unit/removalsAfterOutage.test.ts
+++ b/packages/gateway/src/__tests__/unit/removalsAfterOutage.test.ts
@@ -71,6 +71,25 @@
     });
   });
 
+  describe('of a daemon that waits before it calls the store again', () => {
+    beforeEach(async () => {
+      log.push({ kind: 'removed', id: 't' });
+      setStoresDown(true);
+      await clock.advance(8_000);
+    });
+
+    it('are read as soon as a peer announces that the store is back', async () => {
+      peer.store.isDown = false;
+      await peer.untilRead();
+      await daemon.untilRead();
+      daemon.store.isDown = false;
+      peer.recipients = [daemon];
+      const { registryReads } = daemon.store;
+      await clock.advance(650);
+      expect(daemon.store.registryReads).toBeGreaterThan(registryReads);
+    });
+  });
+
   describe('of a daemon that hears of a target while a peer holds removals back', () => {
     it('come with all targets that the peer announced before', async () => {
       log.push({ kind: 'removed', id: 't' });
--- a/packages/gateway/src/state/StateFollower.ts
+++ b/packages/gateway/src/state/StateFollower.ts
@@ -160,8 +160,7 @@
       await clock.sleep(pause, signal);
     } catch (error) {
       if (signal.aborted) return;
-      await this.availability.handleFailure('reading targets', error);
-      await this.availability.waitToRetry(signal);
+      await this.availability.recover('reading targets', error, signal);
     }
   }
 
@@ -193,8 +192,7 @@
       await clock.sleep(this.pacer.nextPause('reading-configuration'), signal);
     } catch (error) {
       if (signal.aborted) return;
-      await this.availability.handleFailure('reading the configuration', error);
-      await this.availability.waitToRetry(signal);
+      await this.availability.recover('reading the configuration', error, signal);
     }
   }
 }
--- a/packages/gateway/src/state/StoreAvailability.ts
+++ b/packages/gateway/src/state/StoreAvailability.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger, Random } from '@cactusrun/core';
 import { describeError, pickOne } from '@cactusrun/core';
 import type FleetMembers from '../fleet/FleetMembers.js';
+import type GatewayState from './GatewayState.js';
 
 /** Pause after a failed call, doubled up to the maximum. */
 const RETRY_DELAY_MILLISECONDS = 400;
@@ -11,6 +12,7 @@
 
 export interface StoreAvailabilityParts {
   readonly members: FleetMembers;
+  readonly state: GatewayState;
   /** Fetches the state of the peer at an address. */
   readonly fetchFrom: (address: string) => Promise<boolean>;
   readonly clock: Clock;
@@ -45,13 +47,24 @@
     if (address !== undefined) await fetchFrom(address);
   }
 
-  /** Waits before the next call after a failed one. */
-  public async waitToRetry(signal: AbortSignal): Promise<void> {
+  /**
+   * Handles a failed call, and waits before the next one: until the store has answered a peer after an
+   * outage, or else for a while.
+   */
+  public async recover(step: string, error: unknown, signal: AbortSignal): Promise<void> {
+    const { state, clock } = this.parts;
+    const retry = new AbortController();
+    state.storeContact
+      .whenRegained()
+      .then(() => retry.abort())
+      .catch(() => {});
+    await this.handleFailure(step, error);
+    await clock.sleep(this.nextPause(), AbortSignal.any([signal, retry.signal]));
+  }
+
+  private nextPause(): number {
     const pause = RETRY_DELAY_MILLISECONDS * 2 ** Math.min(4, this.failures - 1);
     const jitter = 0.75 + this.parts.random.unit() / 2;
-    await this.parts.clock.sleep(
-      Math.min(MAXIMUM_RETRY_DELAY_MILLISECONDS, pause) * jitter,
-      signal,
-    );
+    return Math.min(MAXIMUM_RETRY_DELAY_MILLISECONDS, pause) * jitter;
   }
 }
--- a/packages/gateway/src/state/StoreContact.ts
+++ b/packages/gateway/src/state/StoreContact.ts
@@ -11,6 +11,9 @@
 
   private regainedAt = Number.NEGATIVE_INFINITY;
 
+  /** Resolve the promises that wait for the end of an outage. */
+  private waiters: (() => void)[] = [];
+
   constructor(private readonly clock: Clock) {}
 
   /** Milliseconds since the store answered this daemon or a peer. */
@@ -26,7 +29,23 @@
   /** Records that the store answered this daemon or a peer so long ago. */
   public record(ageMilliseconds: number): void {
     const answeredAt = this.clock.now() - ageMilliseconds;
-    if (answeredAt - this.answeredAt > OUTAGE_AGE_MILLISECONDS) this.regainedAt = answeredAt;
+    const isAfterOutage = answeredAt - this.answeredAt > OUTAGE_AGE_MILLISECONDS;
     this.answeredAt = Math.max(this.answeredAt, answeredAt);
+    if (!isAfterOutage) return;
+    this.regainedAt = answeredAt;
+    this.resolveWaiters();
+  }
+
+  /** Resolves when the store answers this daemon or a peer again after an outage. */
+  public async whenRegained(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.waiters.push(resolve);
+    });
+  }
+
+  private resolveWaiters(): void {
+    const { waiters } = this;
+    this.waiters = [];
+    waiters.forEach((resolve) => resolve());
   }
 }
