Call a store that does not answer at least every 1.25 s

Callers: a daemon that no peer tells found out up to 2.5 s after its return that the store answers again, and applied removals two seconds later: 4.5 s after the return in place of about two.

Cause: the pause between failed calls grew to 2 s, with up to a quarter more.

Change: it grows to 1 s. Each daemon then makes at most one failed call a second more for each of its two readers while the store refuses at once; fewer where it does not answer.

Evidence: the new test in removalsAfterOutage.test.ts, with the store back at twelve moments of the pause, failed before (target still in use after 3.5 s) and passes now; packages/gateway 576 of 576.

--- a/packages/gateway/src/__tests__/unit/removalsAfterOutage.test.ts
+++ b/packages/gateway/src/__tests__/unit/removalsAfterOutage.test.ts
@@ -11,6 +11,8 @@
 
 /** Time after its return in which the store may be found out to be back and expired entries return. */
 const LATEST_REMOVAL_MILLISECONDS = 4_000;
+/** The same for a daemon that no peer tells. */
+const LATEST_ALONE_MILLISECONDS = 3_500;
 
 describe('removals after an outage of the store', () => {
   let clock: ManualClock;
@@ -78,6 +80,22 @@
       await clock.advance(8_000);
     });
 
+    it('are applied in time, whenever the store comes back', async () => {
+      const outages = Array.from({ length: 12 }, (_, index) => index);
+      await outages.reduce<Promise<void>>(async (before, index) => {
+        await before;
+        setStoresDown(false);
+        await clock.advance(LATEST_ALONE_MILLISECONDS);
+        expect(usableTargets(daemon)).toEqual([]);
+        log.push({ kind: 'present', entry: createTargetEntry('t', { sequence: index + 2 }) });
+        await clock.advance(2_000);
+        expect(usableTargets(daemon)).toEqual(['t']);
+        log.push({ kind: 'removed', id: 't' });
+        setStoresDown(true);
+        await clock.advance(8_000 + index * 170);
+      }, Promise.resolve());
+    });
+
     it('are read as soon as a peer announces that the store is back', async () => {
       peer.store.isDown = false;
       await peer.untilRead();
--- a/packages/gateway/src/state/StoreAvailability.ts
+++ b/packages/gateway/src/state/StoreAvailability.ts
@@ -6,7 +6,7 @@
 
 /** Pause after a failed call, doubled up to the maximum. */
 const RETRY_DELAY_MILLISECONDS = 400;
-const MAXIMUM_RETRY_DELAY_MILLISECONDS = 2_000;
+const MAXIMUM_RETRY_DELAY_MILLISECONDS = 1_000;
 /** While the store does not answer, state is fetched from one of this many most recent peers. */
 const RECENT_PEERS = 24;
 
