Let no address and no message end the daemon from the link to its peers

Callers saw: an address with a bad port that a peer tells, that stands in the store's list of peers or in a peer's state, or a datagram that a handler doesn't expect, ended daemons that had nothing to do with it, with all their requests.

Cause: dgram's send throws a RangeError for port 0 or 65536, in timers and message handlers where nothing catches it; and the socket's message event passed exceptions of the handlers on.

PeerLink now parses each address and counts what is none as datagrams no-address; the other addresses of the message still get it. An exception of a handler is counted as not-handled and the first one logged.

--- a/packages/gateway/src/fleet/PeerLink.ts
+++ b/packages/gateway/src/fleet/PeerLink.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:dgram';
 import { createSocket } from 'node:dgram';
 import type { Counters, Logger, Stop } from '@cactusrun/core';
-import { CactusrunError } from '@cactusrun/core';
+import { CactusrunError, describeError, parseAddress } from '@cactusrun/core';
 import { decodePeerMessage, encodePeerMessage } from './PeerCodec.js';
 import type { PeerMessage } from './PeerMessage.js';
 
@@ -27,22 +27,16 @@
 
   /** @throws CactusrunError when the address cannot be bound */
   public async start(): Promise<Stop> {
-    const [host, port] = this.address.split(':');
+    const own = parseAddress(this.address);
+    const context = { step: 'binding for peers', peer: this.address };
+    if (own === undefined) throw new CactusrunError('not an address', context);
     await new Promise<void>((resolve, reject) => {
-      this.socket.once('error', (error) => {
-        reject(
-          new CactusrunError(error.message, { step: 'binding for peers', peer: this.address }),
-        );
-      });
-      this.socket.bind(Number(port), host, resolve);
+      this.socket.once('error', (error) => reject(new CactusrunError(error.message, context)));
+      this.socket.bind(own.port, own.host, resolve);
     });
     this.socket.removeAllListeners('error');
     this.socket.on('error', () => this.counters.add('datagrams', 'socket-error'));
-    this.socket.on('message', (bytes, from) => {
-      const message = decodePeerMessage(bytes);
-      if (message === undefined) this.counters.add('datagrams', 'not-understood');
-      else this.onMessage(message, `${from.address}:${from.port}`);
-    });
+    this.socket.on('message', (bytes, from) => this.receive(bytes, `${from.address}:${from.port}`));
     return async () => {
       this.socket.close();
     };
@@ -55,15 +49,39 @@
       this.counters.add('datagrams', 'too-large');
       return false;
     }
-    addresses.forEach((address) => {
-      const [host, port] = address.split(':');
-      this.socket.send(bytes, Number(port), host, (error) => {
-        if (error) this.recordSendFailure(address, error);
-      });
-    });
+    addresses.forEach((address) => this.sendTo(address, bytes));
     return true;
   }
 
+  /** An exception would end the process: it is counted, and the first one logged. */
+  private receive(bytes: Buffer, from: string): void {
+    const message = decodePeerMessage(bytes);
+    if (message === undefined) {
+      this.counters.add('datagrams', 'not-understood');
+      return;
+    }
+    try {
+      this.onMessage(message, from);
+    } catch (error) {
+      if (this.counters.valueOf('datagrams', 'not-handled') === 0) {
+        const cause = describeError(error);
+        this.logger.warn('datagram-not-handled', { peer: from, kind: message.kind, cause });
+      }
+      this.counters.add('datagrams', 'not-handled');
+    }
+  }
+
+  private sendTo(address: string, bytes: Buffer): void {
+    const peer = parseAddress(address);
+    if (peer === undefined) {
+      this.counters.add('datagrams', 'no-address');
+      return;
+    }
+    this.socket.send(bytes, peer.port, peer.host, (error) => {
+      if (error) this.recordSendFailure(address, error);
+    });
+  }
+
   /** Counts every datagram that the operating system did not accept, and logs the first. */
   private recordSendFailure(address: string, error: Error): void {
     if (this.counters.valueOf('datagrams', 'not-sent') === 0) {
