Release held answers that wait behind others when their caller is gone

Callers saw: nothing at first; answers that wait behind another one on a connection stayed counted among the held answers for ever when the connection closed, until they took the place of answers that callers do read.

Cause: HeldAnswers releases an answer at the 'close' event of its response, which Node emits only for the response that is being written, and not for those queued behind it. The first part of a large answer was counted only once all answers before it had been written.

Fix: an answer is held from the moment it exists, and one that isn't being written yet is released with the abort of its request as well.

Evidence: the new test of CallerServer failed without the listener (5 bytes held after the close, not 0) and passes with it.

--- a/packages/gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -153,6 +153,20 @@
       expect(heldAnswers.heldBytes).toBe(0);
     });
 
+    it('is no longer held behind another one once its caller is gone', async () => {
+      handle = ({ path }) => {
+        const isLate = path === '/late';
+        return isLate ? new Promise(() => {}) : Promise.resolve(createAnswer());
+      };
+      const get = (path: string) => `GET ${path} HTTP/1.1\r\nhost: h.example\r\n\r\n`;
+      exchange(`${get('/late')}${get('/early')}`, never).catch(() => {});
+      await systemClock.sleep(100);
+      expect(heldAnswers.heldBytes).toBe('whole'.length);
+      sockets[0]?.destroy();
+      await systemClock.sleep(100);
+      expect(heldAnswers.heldBytes).toBe(0);
+    });
+
     it('is no longer held once its caller has read it', async () => {
       await exchange(request(), (read) => read.length > LARGE_BYTES);
       await systemClock.sleep(100);
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -215,6 +215,7 @@
   private async writeAnswer(incoming: Incoming, answer: TargetAnswer): Promise<void> {
     const { connection, request, response } = incoming;
     const { bodyRest } = answer;
+    if (!request.signal.aborted) this.holdAnswer(incoming, answer);
     if (bodyRest !== undefined) {
       bodyRest.on('error', () => this.options.counters.add('callers', 'answer-cut'));
       await connection.awaitLead(request);
@@ -232,19 +233,21 @@
     // connection is closed too, so that the caller can see this.
     if (!answer.isFramed) connection.startNoMore();
     const closes = this.closesWith(incoming) || !answer.isFramed;
-    this.holdAnswer(incoming, answer);
     AnswerWriter.writeAnswer(response, answer, closes, () => connection.cut(request));
   }
 
   /** Counts an answer until its caller has taken it; the connection is cut if it takes too long. */
-  private holdAnswer({ response }: Incoming, { bodyStart }: TargetAnswer): void {
+  private holdAnswer({ request, response }: Incoming, { bodyStart }: TargetAnswer): void {
     const { heldAnswers, counters } = this.options;
     if (heldAnswers === undefined) return;
     const cut = () => {
       counters.add('callers', 'read-too-slowly');
       response.req.socket.resetAndDestroy();
     };
-    response.once('close', heldAnswers.hold({ bytes: bodyStart.length, cut }));
+    const release = heldAnswers.hold({ bytes: bodyStart.length, cut });
+    response.once('close', release);
+    // A response behind others on its connection does not report that the connection has closed.
+    if (response.socket === null) request.signal.addEventListener('abort', release, { once: true });
   }
 
   private writeRefusal(incoming: Incoming, refused: Refused): void {
