Bound what a daemon holds of all bodies and answers by one budget

Cause: readRequestBody held every body, in pieces and then joined, and nothing bounded all of them together. The settings' memory was only used for answers that callers don't read.

Fix: MemoryBudget has 35 % of the memory of the settings for bodies of requests, buffered answers and held answers. BodyRooms reserves the stated length of a body before it is read: in the order of arrival, for 1 s and a quarter of the caller's deadline at most, then 503 memory-full, as not run, with Retry-After. Bodies without a stated length take room as they grow; the newest gives way. No body that has been read in part waits, so there's no deadlock. Small bodies (64 KB) never wait and have an eighth of the budget to themselves. An answer without room is passed on as it arrives. A body loses its room at its caller's deadline, or after 60 s. A peer's memory-full lets another peer take a relayed request.

A refusal while the body still arrives is written at once, and what arrives is discarded for up to 1 s before the connection closes: closing with unread bytes resets it, and the caller could lose the refusal. This holds for bodies and heads over their limits as well.

--- a/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
@@ -9,6 +9,7 @@
 import type { AttemptResult } from '../../connections/TargetAttempt.js';
 import { openConnection } from '../../connections/openConnection.js';
 import TargetConnections from '../../connections/TargetConnections.js';
+import MemoryBudget from '../../memory/MemoryBudget.js';
 import createTargetEntry from './createTargetEntry.js';
 import NAMES from './targetFieldNames.js';
 
@@ -43,7 +44,7 @@
     await server.stop();
   });
 
-  function useClock(chosen: Clock): void {
+  function useClock(chosen: Clock, memory?: MemoryBudget): void {
     clock = chosen;
     connections = new TargetConnections(
       NAMES,
@@ -51,6 +52,7 @@
       clock,
       new Counters(),
       openConnection,
+      memory,
     );
   }
 
@@ -224,6 +226,39 @@
     }, 30_000);
   });
 
+  describe('an answer for which there is no room in memory', () => {
+    it('is passed on whole while it arrives, and holds nothing', async () => {
+      const body = 'x'.repeat(50_000);
+      script = (socket, attempt) => {
+        socket.write(head(attempt, `content-length: ${body.length}\r\n`));
+        socket.write(body.slice(0, 30_000));
+        setTimeout(() => socket.write(body.slice(30_000)), 50);
+      };
+      const memory = new MemoryBudget(20_000, clock, new Counters());
+      useClock(clock, memory);
+      const { result, bytes, isWhole } = await deliver();
+      const start = result.kind === 'answered' ? result.answer.bodyStart.length : 0;
+      expect(isWhole).toBe(true);
+      expect(bytes).toBeGreaterThan(0);
+      expect(start + bytes).toBe(body.length);
+      expect(memory.heldBytes).toBe(0);
+    });
+
+    it('that breaks off holds nothing', async () => {
+      script = (socket, attempt) => {
+        socket.write(`${head(attempt, 'content-length: 9000\r\n')}start`);
+        setTimeout(() => socket.destroy(), 50);
+      };
+      const memory = new MemoryBudget(20_000, clock, new Counters());
+      useClock(clock, memory);
+      const ending = send();
+      await systemClock.sleep(30);
+      expect(memory.heldBytes).toBe('start'.length);
+      expect((await ending).kind).toBe('broken');
+      expect(memory.heldBytes).toBe(0);
+    });
+  });
+
   describe('a large answer', () => {
     it('is passed on whole', async () => {
       script = (socket, attempt) => {
--- a/packages/gateway/src/callers/AnswerWriter.ts
+++ b/packages/gateway/src/callers/AnswerWriter.ts
@@ -1,9 +1,10 @@
 /** Writes outcomes to callers: answers of targets as they are, and the gateway's own refusals. */
 import type { ServerResponse } from 'node:http';
-import type { Random } from '@cactusrun/core';
+import type { Clock, Random } from '@cactusrun/core';
 import type { TargetAnswer } from '../connections/TargetAttempt.js';
 import { isRelayField } from '../relay/RelayField.js';
 import type { Refused } from './CallerExchange.js';
+import endAfterBody from './endAfterBody.js';
 import type { RefusalReason } from './Refusal.js';
 import { REFUSAL_RULES } from './Refusal.js';
 
@@ -15,7 +16,10 @@
 const CLOSE_FIELDS: readonly string[] = ['connection', 'close'];
 
 export default class AnswerWriter {
-  constructor(private readonly random: Random) {}
+  constructor(
+    private readonly random: Random,
+    private readonly clock: Clock,
+  ) {}
 
   /**
    * Writes the answer of a target.
@@ -71,7 +75,12 @@
       ...extraFields,
       ...(closes ? CLOSE_FIELDS : []),
     ]);
-    response.end(body);
+    if (response.req.complete) {
+      response.end(body);
+      return;
+    }
+    response.write(body);
+    endAfterBody(response, this.clock);
   }
 
   private retryAfterMilliseconds(
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -7,6 +7,7 @@
 import { CactusrunError } from '@cactusrun/core';
 import { endToEndHeaders, listHeaders, refuseMalformed } from '@cactusrun/requests';
 import type { TargetAnswer } from '../connections/TargetAttempt.js';
+import type BodyRooms from '../memory/BodyRooms.js';
 import type { CallerLimits } from '../state/GatewayConfiguration.js';
 import AnswerWriter from './AnswerWriter.js';
 import type { ConnectionRequest } from './CallerConnection.js';
@@ -48,6 +49,8 @@
   readonly handle: (exchange: CallerExchange) => Promise<CallerOutcome>;
   /** Bounds what is held for callers that read slowly; absent, nothing does. */
   readonly heldAnswers?: HeldAnswers;
+  /** Bounds the bodies of requests in memory; absent, nothing does. */
+  readonly bodyRooms?: BodyRooms;
 }
 
 /** One request on its way: the connection that it came on, and the response to write. */
@@ -69,7 +72,7 @@
   private onIdle: (() => void) | undefined;
 
   constructor(private readonly options: CallerServerOptions) {
-    this.writer = new AnswerWriter(options.random);
+    this.writer = new AnswerWriter(options.random, options.clock);
     this.server = createServer(
       {
         maxHeaderSize: DEFAULT_LIMITS.headerBytes,
@@ -161,23 +164,42 @@
       this.writeRefusal(incoming, { reason: 'headers-too-large' });
       return;
     }
-    const body = await readRequestBody(request, limits.bodyBytes, clock);
+    const body = await readRequestBody(request, {
+      limitBytes: limits.bodyBytes,
+      deadlineMilliseconds: this.deadlineOf(request),
+      signal: incoming.request.signal,
+      rooms: this.options.bodyRooms,
+      clock,
+    });
     if (body.kind === 'cut') {
       counters.add('callers', 'body-cut');
       connection.cut(incoming.request);
       return;
     }
-    if (body.kind === 'too-large') {
-      this.writeRefusal(incoming, { reason: 'body-too-large' });
+    if (body.kind === 'refused') {
+      this.writeRefusal(incoming, body);
       return;
     }
     const exchange = this.createExchange(request, body.bytes, receivedAt, incoming);
+    const outcome = await this.execute(exchange, incoming).finally(body.release);
+    if (outcome === undefined) counters.add('callers', 'behind-close');
+    else await this.writeOutcome(incoming, outcome);
+  }
+
+  /** The outcome of a request, or undefined if the connection closes before its answer. */
+  private async execute(
+    exchange: CallerExchange,
+    { connection, request }: Incoming,
+  ): Promise<CallerOutcome | undefined> {
     const canOverlap = this.options.canOverlap(exchange);
-    if (!(await connection.awaitTurn(incoming.request, canOverlap, body.bytes.length))) {
-      counters.add('callers', 'behind-close');
-      return;
-    }
-    await this.writeOutcome(incoming, await this.options.handle(exchange));
+    const hasTurn = await connection.awaitTurn(request, canOverlap, exchange.body.length);
+    return hasTurn ? this.options.handle(exchange) : undefined;
+  }
+
+  /** Time that the caller waits for the answer, if it states one. */
+  private deadlineOf({ headers }: IncomingMessage): number | undefined {
+    const deadline = Number(headers[this.options.names.deadline.toLowerCase()]);
+    return Number.isFinite(deadline) && deadline > 0 ? deadline : undefined;
   }
 
   private createExchange(
@@ -189,7 +211,6 @@
     const { names, isForPeers } = this.options;
     const isReserved = (name: string) =>
       name === 'content-length' || names.reserved.has(name) || isRelayField(name);
-    const deadline = Number(request.headers[names.deadline.toLowerCase()]);
     return {
       id: String(request.headers[names.attemptId.toLowerCase()] ?? ''),
       host: request.headers.host ?? '',
@@ -197,7 +218,7 @@
       path: request.url ?? '/',
       fields: endToEndHeaders(listHeaders(request.rawHeaders), isReserved),
       body,
-      deadlineMilliseconds: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
+      deadlineMilliseconds: this.deadlineOf(request),
       receivedAt,
       relayed: isForPeers ? decodeStatement(request.headers) : undefined,
       signal: pending.signal,
--- a/packages/gateway/src/callers/HeldAnswers.ts
+++ b/packages/gateway/src/callers/HeldAnswers.ts
@@ -3,6 +3,7 @@
  * callers read slowly at once, the memory of the host would not hold all of their answers; then those
  * of the slowest readers give way.
  */
+import type MemoryBudget from '../memory/MemoryBudget.js';
 
 /** An answer that has been begun and that its caller has not taken whole yet. */
 export interface HeldAnswer {
@@ -18,8 +19,14 @@
 
   private bytes = 0;
 
-  /** @param limitBytes - bytes that all answers may hold together */
-  constructor(private readonly limitBytes: number) {}
+  /**
+   * @param limitBytes - bytes that all answers may hold together
+   * @param memory - what the answers count in besides, if anything
+   */
+  constructor(
+    private readonly limitBytes: number,
+    private readonly memory?: MemoryBudget,
+  ) {}
 
   /** Bytes held now. */
   public get heldBytes(): number {
@@ -35,6 +42,7 @@
   public hold(answer: HeldAnswer): () => void {
     this.answers.add(answer);
     this.bytes += answer.bytes;
+    this.memory?.holdAnswer(answer.bytes);
     const slowest = this.findSlowest(answer);
     slowest.forEach((other) => this.release(other));
     slowest.forEach(({ cut }) => cut());
@@ -53,6 +61,8 @@
   }
 
   private release(answer: HeldAnswer): void {
-    if (this.answers.delete(answer)) this.bytes -= answer.bytes;
+    if (!this.answers.delete(answer)) return;
+    this.bytes -= answer.bytes;
+    this.memory?.releaseAnswer(answer.bytes);
   }
 }
--- a/packages/gateway/src/callers/Refusal.ts
+++ b/packages/gateway/src/callers/Refusal.ts
@@ -19,6 +19,7 @@
   | 'unsigned-answer'
   | 'body-too-large'
   | 'headers-too-large'
+  | 'memory-full'
   | 'malformed';
 
 export interface RefusalRule {
@@ -144,6 +145,12 @@
     retryAfterMilliseconds: 0,
     meaning: 'the header fields are over the limit in force',
   },
+  'memory-full': {
+    status: 503,
+    isNotRun: true,
+    retryAfterMilliseconds: 1_000,
+    meaning: 'this daemon has no memory left for the body of the request',
+  },
   malformed: {
     status: 400,
     isNotRun: true,
--- a/packages/gateway/src/callers/readRequestBody.ts
+++ b/packages/gateway/src/callers/readRequestBody.ts
@@ -1,46 +1,52 @@
-/** Reads the body of a caller's request into memory. */
+/** Reads the body of a caller's request into memory, once there is room for it. */
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '@cactusrun/core';
-import BodyCollector from '../connections/BodyCollector.js';
-import ShortPiecePacer from '../connections/ShortPiecePacer.js';
+import { UNBOUNDED_ROOM } from '../memory/BodyRoom.js';
+import type BodyRooms from '../memory/BodyRooms.js';
+import type { RequestBody } from './BodyReading.js';
+import BodyReading, { refuse, statedLength } from './BodyReading.js';
 
-/** Longest wait for the next chunk of a body. */
-const BODY_INACTIVITY_MILLISECONDS = 10_000;
+/** Longest time in which a body may arrive, if its caller states no earlier deadline. */
+const BODY_MILLISECONDS = 60_000;
+/** Longest wait for room in memory. */
+const ROOM_WAIT_MILLISECONDS = 1_000;
+/** Largest share of a caller's deadline that this wait may use. */
+const ROOM_WAIT_SHARE = 0.25;
 
-export type RequestBody =
-  | { readonly kind: 'whole'; readonly bytes: Buffer }
-  | { readonly kind: 'too-large' }
-  /** The caller disconnected or stopped sending before the end. */
-  | { readonly kind: 'cut' };
+export interface BodyOptions {
+  /** Size in bytes from which the body is too large. */
+  readonly limitBytes: number;
+  /** Time that the caller waits for the answer; undefined if it does not state one. */
+  readonly deadlineMilliseconds: number | undefined;
+  /** Aborted when the caller disconnects. */
+  readonly signal: AbortSignal;
+  /** Bounds the bodies in memory; absent, nothing does. */
+  readonly rooms: BodyRooms | undefined;
+  readonly clock: Clock;
+}
+
+const CUT: RequestBody = { kind: 'cut' };
 
-/** @param limit - size in bytes from which the body is too large */
-export default function readRequestBody(
+/** Reads a body. It is refused before it is read if its length shows that it cannot be held. */
+export default async function readRequestBody(
   request: IncomingMessage,
-  limit: number,
-  clock: Clock,
+  options: BodyOptions,
 ): Promise<RequestBody> {
-  return new Promise((resolve) => {
-    const body = new BodyCollector(Math.min(limit, Number(request.headers['content-length'] ?? 0)));
-    const pacer = new ShortPiecePacer(request, clock);
-    let cancelTimer = () => {};
-    const settle = (result: RequestBody) => {
-      cancelTimer();
-      pacer.stop();
-      resolve(result);
-    };
-    const restartTimer = () => {
-      cancelTimer();
-      cancelTimer = clock.after(BODY_INACTIVITY_MILLISECONDS, () => settle({ kind: 'cut' }));
-    };
-    request.on('data', (chunk: Buffer) => {
-      restartTimer();
-      if (body.size + chunk.length > limit) settle({ kind: 'too-large' });
-      else body.add(chunk);
-      pacer.count(chunk.length);
-    });
-    request.on('end', () => settle({ kind: 'whole', bytes: body.join() }));
-    request.on('error', () => settle({ kind: 'cut' }));
-    request.on('close', () => settle({ kind: 'cut' }));
-    restartTimer();
+  const { limitBytes, rooms, signal, clock } = options;
+  const allowedMilliseconds = options.deadlineMilliseconds ?? BODY_MILLISECONDS;
+  const deadline = clock.now() + Math.min(BODY_MILLISECONDS, allowedMilliseconds);
+  const statedBytes = statedLength(request);
+  if (statedBytes !== undefined && statedBytes > limitBytes) return refuse('body-too-large');
+  const readingOptions = { limitBytes, deadline, clock };
+  if (rooms === undefined) return new BodyReading(request, readingOptions).run(UNBOUNDED_ROOM);
+  let reading: BodyReading | undefined;
+  const room = await rooms.reserve({
+    statedBytes,
+    waitMilliseconds: Math.min(ROOM_WAIT_MILLISECONDS, allowedMilliseconds * ROOM_WAIT_SHARE),
+    signal,
+    onGiveWay: () => reading?.settle(refuse('memory-full')),
   });
+  if (room === undefined) return signal.aborted ? CUT : refuse('memory-full');
+  reading = new BodyReading(request, readingOptions);
+  return reading.run(room);
 }
--- a/packages/gateway/src/connections/TargetConnections.ts
+++ b/packages/gateway/src/connections/TargetConnections.ts
@@ -1,6 +1,7 @@
 /** Sends requests to targets over reused connections, one request at a time on each. */
 import type { Socket } from 'node:net';
 import type { Clock, Counters } from '@cactusrun/core';
+import type MemoryBudget from '../memory/MemoryBudget.js';
 import type { TargetEntry } from '../state/TargetEntry.js';
 import type { OpenConnection } from './openConnection.js';
 import { CONNECT_TIMEOUT_MILLISECONDS } from './openConnection.js';
@@ -26,6 +27,7 @@
     private readonly clock: Clock,
     private readonly counters: Counters,
     private readonly openConnection: OpenConnection,
+    private readonly memory?: MemoryBudget,
   ) {
     this.idle = new IdleConnections(clock);
   }
@@ -122,10 +124,10 @@
     connection: ExchangeConnection,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { names, clock, counters } = this;
+    const { names, clock, counters, memory } = this;
     const release = (socket: Socket, idleMilliseconds: number) =>
       this.idle.release(target.id, socket, idleMilliseconds);
-    const parts = { names, clock, counters, release };
+    const parts = { names, clock, counters, memory, release };
     return new TargetExchange(parts, target.id, request, connection).run(signal);
   }
 }
--- a/packages/gateway/src/connections/TargetExchange.ts
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -9,9 +9,10 @@
 import { PassThrough } from 'node:stream';
 import type { Clock, Counters } from '@cactusrun/core';
 import { discardBody } from '@cactusrun/requests';
+import type MemoryBudget from '../memory/MemoryBudget.js';
 import type { RequestRate } from '../state/TargetStatement.js';
+import AnswerBuffer from './AnswerBuffer.js';
 import AnswerCutError from './AnswerCutError.js';
-import BodyCollector from './BodyCollector.js';
 import { RECENT_USE_MILLISECONDS } from './IdleReuse.js';
 import {
   belongsToAnotherRequest,
@@ -19,13 +20,8 @@
   readRefusal,
   readTargetAnswer,
 } from './readTargetAnswer.js';
-import ShortPiecePacer from './ShortPiecePacer.js';
 import type { AttemptResult, OutgoingRequest, TargetFieldNames } from './TargetAttempt.js';
 
-/** Answers up to this size are buffered whole before the caller gets any of them. */
-const MAXIMUM_BUFFERED_BYTES = 1_048_576;
-/** The most that one read of a connection yields; so much may arrive beyond what is buffered. */
-const READ_BYTES = 65_536;
 /**
  * A break within this time is a drop: a write on a dropped connection is reset after a round trip. A
  * later break means that the target had begun the request.
@@ -38,6 +34,8 @@
   readonly names: TargetFieldNames;
   readonly clock: Clock;
   readonly counters: Counters;
+  /** Counts what is buffered of answers; absent, nothing bounds them together. */
+  readonly memory: MemoryBudget | undefined;
   /** Takes the connection back after a complete answer, with the time that it may stay idle. */
   readonly release: (socket: Socket, idleMilliseconds: number) => void;
 }
@@ -63,6 +61,9 @@
 
   private informationalAnswers = 0;
 
+  /** The answer, or its first part, while it arrives. */
+  private buffer: AnswerBuffer | undefined;
+
   /** The rest of an answer that is too large to buffer, while it is passed on. */
   private bodyRest: PassThrough | undefined;
 
@@ -145,18 +146,15 @@
   }
 
   private readBody(response: IncomingMessage): void {
-    const body = new BodyCollector(expectedStart(response));
-    const pacer = new ShortPiecePacer(response, this.parts.clock);
+    const buffer = new AnswerBuffer(response, this.parts.clock, this.parts.memory);
+    this.buffer = buffer;
     const finish = () => {
-      const answer = readTargetAnswer(response, this.parts.names, body.join(), this.bodyRest);
+      const answer = readTargetAnswer(response, this.parts.names, buffer.join(), this.bodyRest);
       this.checkRateLimit(answer.stated.rateLimit);
       this.settle({ kind: 'answered', answer });
     };
     const onData = (chunk: Buffer) => {
-      body.add(chunk);
-      pacer.count(chunk.length);
-      if (body.size <= MAXIMUM_BUFFERED_BYTES) return;
-      pacer.stop();
+      if (buffer.add(chunk)) return;
       response.removeListener('data', onData);
       this.passOn(response);
       finish();
@@ -223,6 +221,7 @@
   private settle(result: AttemptResult): void {
     if (this.isSettled) return;
     this.isSettled = true;
+    this.buffer?.release();
     if (this.bodyRest === undefined) this.stopWatching?.();
     this.resolve?.(result);
   }
@@ -232,9 +231,3 @@
     this.connection.socket.destroy();
   }
 }
-
-/** Length of the part of an answer that is buffered, or 0 if the answer does not state its length. */
-function expectedStart({ headers }: IncomingMessage): number {
-  const statedBytes = Number(headers['content-length'] ?? 0);
-  return Math.min(statedBytes, MAXIMUM_BUFFERED_BYTES + READ_BYTES);
-}
--- a/packages/gateway/src/relay/PeerRelay.ts
+++ b/packages/gateway/src/relay/PeerRelay.ts
@@ -21,7 +21,11 @@
 const AVOID_MILLISECONDS = 1_000;
 
 /** Refusals by a peer that another peer need not share. */
-const PEER_FAULTS: ReadonlySet<RefusalReason> = new Set(['unreachable', 'no-configuration']);
+const PEER_FAULTS: ReadonlySet<RefusalReason> = new Set([
+  'unreachable',
+  'no-configuration',
+  'memory-full',
+]);
 
 export interface RelayedRequest {
   readonly exchange: CallerExchange;
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -40,7 +40,9 @@
   readonly hasAdmission: boolean;
   /** Hedged requests that operators accept per request of a service, from 0 (none) to 1. */
   readonly hedgeShare: number;
-  /** Bytes of answers that may be held for callers that have not read them. */
+  /** Bytes of bodies and answers that may be held at the same time. */
+  readonly memoryBytes: number;
+  /** Bytes of answers, out of these, that may be held for callers that have not read them. */
   readonly heldAnswerBytes: number;
   readonly stopTimes: StopTimes;
   readonly targetFields: TargetFieldNames;
--- a/packages/gateway/src/wiring/GatewayParts.ts
+++ b/packages/gateway/src/wiring/GatewayParts.ts
@@ -12,6 +12,8 @@
 import type { GatewayOptions } from './GatewayOptions.js';
 import { findRoute, isRepeatable } from '../state/GatewayConfiguration.js';
 import HeldAnswers from '../callers/HeldAnswers.js';
+import BodyRooms from '../memory/BodyRooms.js';
+import MemoryBudget from '../memory/MemoryBudget.js';
 import HedgePolicy from '../hedging/HedgePolicy.js';
 import SlotOccupancy from '../hedging/SlotOccupancy.js';
 import GatewayState from '../state/GatewayState.js';
@@ -66,6 +68,8 @@
   readonly state: GatewayState;
   /** Answers that callers and peers have not read yet. */
   readonly heldAnswers: HeldAnswers;
+  /** Room for the bodies of requests of callers and peers. */
+  readonly bodyRooms: BodyRooms;
 }
 
 export function buildSharedState(
@@ -100,8 +104,9 @@
     counters,
     logger,
   });
+  const memory = new MemoryBudget(options.memoryBytes, clock, counters);
   const connect = (open: OpenConnection, reuse: IdleReuse) =>
-    new TargetConnections(options.targetFields, reuse, clock, counters, open);
+    new TargetConnections(options.targetFields, reuse, clock, counters, open, memory);
   const connections = connect(reachability.openConnection, idleReuse);
   const peerConnections = connect(openConnection, new IdleReuse(clock));
   const relay = new PeerRelay({
@@ -155,7 +160,8 @@
     directory,
     callerLoad,
     state,
-    heldAnswers: new HeldAnswers(options.heldAnswerBytes),
+    heldAnswers: new HeldAnswers(options.heldAnswerBytes, memory),
+    bodyRooms: new BodyRooms(memory, counters),
   };
 }
 
@@ -263,7 +269,7 @@
 /** Constructs a server of requests that the proxy handles. */
 export function buildServer(
   options: GatewayOptions,
-  { state, heldAnswers, callerLoad }: SharedState,
+  { state, heldAnswers, bodyRooms, callerLoad }: SharedState,
   proxy: RequestProxy,
   role: ServerRole,
 ): CallerServer {
@@ -274,6 +280,7 @@
     random: options.random,
     counters: options.counters,
     heldAnswers,
+    bodyRooms,
     limits: () => state.configuration?.limits,
     canOverlap: ({ host, path }) => {
       if (state.configuration === undefined) return false;
