--- a/packages/gateway/src/callers/AnswerWriter.ts
+++ b/packages/gateway/src/callers/AnswerWriter.ts
@@ -1,9 +1,10 @@
 /** Writes outcomes to callers: answers of targets as they are, and the gateway's own refusals. */
 import type { ServerResponse } from 'node:http';
-import type { Random } from '@cactusrun/core';
+import type { Clock, Random } from '@cactusrun/core';
 import type { TargetAnswer } from '../connections/TargetAttempt.js';
 import { isRelayField } from '../relay/RelayField.js';
 import type { Refused } from './CallerExchange.js';
+import endAfterBody from './endAfterBody.js';
 import type { RefusalReason } from './Refusal.js';
 import { REFUSAL_RULES } from './Refusal.js';
 
@@ -17,7 +18,10 @@
 const NOT_MODIFIED_STATUS = 304;
 
 export default class AnswerWriter {
-  constructor(private readonly random: Random) {}
+  constructor(
+    private readonly random: Random,
+    private readonly clock: Clock,
+  ) {}
 
   /**
    * Whether only the end of the connection ends the body: its length is unknown, and the caller takes
@@ -82,7 +86,12 @@
       ...extraFields,
       ...(closes ? CLOSE_FIELDS : []),
     ]);
-    response.end(body);
+    if (response.req.complete) {
+      response.end(body);
+      return;
+    }
+    response.write(body);
+    endAfterBody(response, this.clock);
   }
 
   private retryAfterMilliseconds(
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -7,12 +7,14 @@
 import { CactusrunError, describeError } from '@cactusrun/core';
 import { endToEndHeaders, listHeaders, refuseMalformed } from '@cactusrun/requests';
 import type { TargetAnswer } from '../connections/TargetAttempt.js';
+import type BodyRooms from '../memory/BodyRooms.js';
 import type { CallerLimits } from '../state/GatewayConfiguration.js';
 import AnswerWriter from './AnswerWriter.js';
 import CallerConnection from './CallerConnection.js';
 import type { CallerExchange, CallerOutcome, Refused } from './CallerExchange.js';
 import type HeldAnswers from './HeldAnswers.js';
 import type PendingRequest from './PendingRequest.js';
+import type { Turn } from './PendingRequest.js';
 import readRequestBody from './readRequestBody.js';
 import { decodeStatement, encodeRefusal, isRelayField } from '../relay/RelayField.js';
 
@@ -49,6 +51,8 @@
   readonly handle: (exchange: CallerExchange) => Promise<CallerOutcome>;
   /** Bounds what is held for callers that read slowly; absent, nothing does. */
   readonly heldAnswers?: HeldAnswers;
+  /** Bounds the bodies of requests in memory; absent, nothing does. */
+  readonly bodyRooms?: BodyRooms;
 }
 
 /** Why a connection ends before the answer to its request does. */
@@ -76,7 +80,7 @@
   private onIdle: (() => void) | undefined;
 
   constructor(private readonly options: CallerServerOptions) {
-    this.writer = new AnswerWriter(options.random);
+    this.writer = new AnswerWriter(options.random, options.clock);
     this.server = createServer(
       {
         maxHeaderSize: DEFAULT_LIMITS.headerBytes,
@@ -197,26 +201,39 @@
       this.writeRefusal(incoming, { reason: 'headers-too-large' });
       return;
     }
-    const body = await readRequestBody(request, limits.bodyBytes, clock);
+    const body = await readRequestBody(request, {
+      limitBytes: limits.bodyBytes,
+      deadlineMilliseconds: this.deadlineOf(request),
+      signal: incoming.request.signal,
+      rooms: this.options.bodyRooms,
+      clock,
+    });
     if (body.kind === 'cut') {
       counters.add('callers', 'body-cut');
       connection.cut(incoming.request);
       return;
     }
-    if (body.kind === 'too-large') {
-      this.writeRefusal(incoming, { reason: 'body-too-large' });
+    if (body.kind === 'refused') {
+      this.writeRefusal(incoming, body);
       return;
     }
     const exchange = this.createExchange(request, body.bytes, incoming);
+    const turn = await this.execute(exchange, incoming).finally(body.release);
+    if (turn === 'drop') counters.add('callers', 'behind-close');
+    else if (turn === 'refuse') await this.refuseStopping(incoming);
+    else await this.writeOutcome(incoming, turn);
+  }
+
+  /** The outcome of a request, once it has its turn; or what is done with it instead. */
+  private async execute(
+    exchange: CallerExchange,
+    { connection, request }: Incoming,
+  ): Promise<CallerOutcome | Exclude<Turn, 'execute'>> {
     const canOverlap = this.options.canOverlap(exchange);
-    const turn = await connection.awaitTurn(incoming.request, canOverlap, body.bytes.length);
-    if (turn === 'drop') {
-      counters.add('callers', 'behind-close');
-      return;
-    }
-    const outcome = turn === 'execute' ? await this.options.handle(exchange) : undefined;
-    if (outcome === undefined || incoming.request.isRefused) await this.refuseStopping(incoming);
-    else await this.writeOutcome(incoming, outcome);
+    const turn = await connection.awaitTurn(request, canOverlap, exchange.body.length);
+    if (turn !== 'execute') return turn;
+    const outcome = await this.options.handle(exchange);
+    return request.isRefused ? 'refuse' : outcome;
   }
 
   /** Refuses a request in its turn, so that the refusals of those behind it still follow. */
@@ -225,6 +242,12 @@
     this.writeRefusal(incoming, { reason: 'stopping' });
   }
 
+  /** Time that the caller waits for the answer, if it states one. */
+  private deadlineOf({ headers }: IncomingMessage): number | undefined {
+    const deadline = Number(headers[this.options.names.deadline.toLowerCase()]);
+    return Number.isFinite(deadline) && deadline > 0 ? deadline : undefined;
+  }
+
   private createExchange(
     request: IncomingMessage,
     body: Buffer,
@@ -233,7 +256,6 @@
     const { names, isForPeers } = this.options;
     const isReserved = (name: string) =>
       name === 'content-length' || names.reserved.has(name) || isRelayField(name);
-    const deadline = Number(request.headers[names.deadline.toLowerCase()]);
     return {
       id: pending.head.id,
       host: request.headers.host ?? '',
@@ -241,7 +263,7 @@
       path: request.url ?? '/',
       fields: endToEndHeaders(listHeaders(request.rawHeaders), isReserved),
       body,
-      deadlineMilliseconds: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
+      deadlineMilliseconds: this.deadlineOf(request),
       receivedAt: pending.head.receivedAt,
       relayed: isForPeers ? decodeStatement(request.headers) : undefined,
       signal: pending.executionSignal,
@@ -259,6 +281,7 @@
   private async writeAnswer(incoming: Incoming, answer: TargetAnswer): Promise<void> {
     const { connection, request, response } = incoming;
     const { bodyRest } = answer;
+    if (!request.signal.aborted) this.holdAnswer(incoming, answer);
     if (bodyRest !== undefined) {
       bodyRest.on('error', () => this.options.counters.add('callers', 'answer-cut'));
       await connection.awaitLead(request);
@@ -275,7 +298,6 @@
     const endsBody = AnswerWriter.endsWithConnection(response, answer);
     if (endsBody) connection.startNoMore();
     const closes = this.closesWith(incoming) || endsBody;
-    this.holdAnswer(incoming, answer);
     AnswerWriter.writeAnswer(response, answer, closes, (error) => {
       this.recordCut(incoming, 'answer-broke-off', error);
       connection.cut(request);
@@ -285,13 +307,16 @@
   /** Counts an answer until its caller has taken it; the connection is cut if it takes too long. */
   private holdAnswer(incoming: Incoming, { bodyStart }: TargetAnswer): void {
     const { heldAnswers } = this.options;
-    const { response } = incoming;
+    const { request, response } = incoming;
     if (heldAnswers === undefined) return;
     const cut = () => {
       this.recordCut(incoming, 'read-too-slowly');
       response.req.socket.resetAndDestroy();
     };
-    response.once('close', heldAnswers.hold({ bytes: bodyStart.length, cut }));
+    const release = heldAnswers.hold({ bytes: bodyStart.length, cut });
+    response.once('close', release);
+    // A response behind others on its connection does not report that the connection has closed.
+    if (response.socket === null) request.signal.addEventListener('abort', release, { once: true });
   }
 
   private writeRefusal(incoming: Incoming, refused: Refused): void {
--- a/packages/gateway/src/connections/TargetConnections.ts
+++ b/packages/gateway/src/connections/TargetConnections.ts
@@ -1,6 +1,7 @@
 /** Sends requests to targets over reused connections, one request at a time on each. */
 import type { Socket } from 'node:net';
 import type { Clock, Counters } from '@cactusrun/core';
+import type MemoryBudget from '../memory/MemoryBudget.js';
 import type { TargetEntry } from '../state/TargetEntry.js';
 import type { OpenConnection } from './openConnection.js';
 import { CONNECT_TIMEOUT_MILLISECONDS, openAddress } from './openConnection.js';
@@ -34,6 +35,7 @@
     private readonly clock: Clock,
     private readonly counters: Counters,
     private readonly openConnection: OpenConnection,
+    private readonly memory?: MemoryBudget,
   ) {
     this.idle = new IdleConnections(clock);
   }
@@ -129,12 +131,12 @@
     { socket, isReused, idleMilliseconds }: OpenedConnection,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { names, clock, counters, idle } = this;
+    const { names, clock, counters, memory, idle } = this;
     const lease = new ConnectionLease(socket, (freed, maximumIdleMilliseconds) =>
       idle.release(target.id, freed, maximumIdleMilliseconds),
     );
     const connection = { lease, isReused, idleMilliseconds };
-    const parts = { names, clock, counters };
+    const parts = { names, clock, counters, memory };
     return new TargetExchange(parts, target.id, request, connection).run(signal);
   }
 }
--- a/packages/gateway/src/relay/PeerRelay.ts
+++ b/packages/gateway/src/relay/PeerRelay.ts
@@ -26,6 +26,7 @@
   'unreachable',
   'no-configuration',
   'stopping',
+  'memory-full',
 ]);
 
 export interface RelayedRequest {
