End a stopping process in order though a report is still due

In a process it ends a planned stop with status 1 and a stack trace. Cause: the socket is closed last, and reports that are due later still call it. PeerLink now sends nothing once it was stopped, and stops once. Evidence: the new case of PeerLink.test.ts failed before with that error.

--- a/packages/gateway/src/__tests__/unit/PeerLink.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerLink.test.ts
@@ -52,6 +52,13 @@
     expect(counters.valueOf('datagrams', 'no-address')).toBe(odd.length);
   });
 
+  it('sends nothing and throws nothing once it was stopped: a report may be due later', async () => {
+    await stop();
+    expect(() => link.send([ADDRESS], CRASH)).not.toThrow();
+    await stop();
+    expect(received).toEqual([]);
+  });
+
   it('counts datagrams of another shape and goes on', async () => {
     const shapes = ['', 'x', 'null', '["beat"]', '["calls","n",[null]]', '{"kind":"hello"}'];
     shapes.forEach((text) => sendBytes(Buffer.from(text)));
--- a/packages/gateway/src/fleet/PeerLink.ts
+++ b/packages/gateway/src/fleet/PeerLink.ts
@@ -18,6 +18,8 @@
 export default class PeerLink implements PeerSender {
   private readonly socket: Socket = createSocket('udp4');
 
+  private isStopped = false;
+
   constructor(
     private readonly address: string,
     private readonly counters: Counters,
@@ -38,12 +40,14 @@
     this.socket.on('error', () => this.counters.add('datagrams', 'socket-error'));
     this.socket.on('message', (bytes, from) => this.receive(bytes, `${from.address}:${from.port}`));
     return async () => {
+      if (this.isStopped) return;
+      this.isStopped = true;
       this.socket.close();
     };
   }
 
   public send(addresses: readonly string[], message: PeerMessage): boolean {
-    if (addresses.length === 0) return true;
+    if (this.isStopped || addresses.length === 0) return true;
     const bytes = encodePeerMessage(message);
     if (bytes.length > MAXIMUM_DATAGRAM_BYTES) {
       this.counters.add('datagrams', 'too-large');
