Keep connections of the late-refusal tests from timing out on a busy machine

One case of lateRefusals.test.ts failed once (1 of 6 runs of the file, beside the gateway's other unit tests at a load of 18 to 24 on 8 cores): its first request was "not-sent" in place of refused, as 40 connections at a time met the connect timeout of 150 ms on the system's clock. The pools of this file and of cutAnswers.test.ts now have a manual clock that stands still; nothing expected changes.

--- a/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
+++ b/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
@@ -91,6 +91,9 @@
 };
 
 describe('an answer that breaks off', () => {
+  /** Stands still: no connection times out on a busy machine. */
+  const clock = new ManualClock();
+
   let server: ScriptedTarget;
 
   /** What is done with a request, by its identifier. */
@@ -106,9 +109,9 @@
       if (id !== undefined) scripts.get(id)?.(socket);
     });
     await server.start('127.0.0.1');
-    const idleReuse = new IdleReuse(systemClock);
+    const idleReuse = new IdleReuse(clock);
     const counters = new Counters();
-    connections = new TargetConnections(NAMES, idleReuse, systemClock, counters, openConnection);
+    connections = new TargetConnections(NAMES, idleReuse, clock, counters, openConnection);
   });
 
   afterEach(async () => {
@@ -124,7 +127,7 @@
       fields: [['host', 'h']] as const,
       body: Buffer.from('body'),
       kind: 'once' as const,
-      deadline: systemClock.now() + DEADLINE_MILLISECONDS,
+      deadline: clock.now() + DEADLINE_MILLISECONDS,
     };
   }
 
@@ -138,7 +141,6 @@
 
   /** Sends a request on a connection of its own that has carried an answer before. */
   async function sendOnKept(id: string): Promise<AttemptResult> {
-    const clock = new ManualClock();
     const idleReuse = new IdleReuse(clock);
     const counters = new Counters();
     const pool = new TargetConnections(NAMES, idleReuse, clock, counters, openConnection);
@@ -156,7 +158,7 @@
     const peerRelay = new PeerRelay({
       directory: { relayPeers: () => [peer, { ...peer, name: 'peer-2' }] },
       connections,
-      clock: systemClock,
+      clock,
       random: createRandom(1),
       counters: new Counters(),
       logger: silentLogger,
@@ -166,7 +168,7 @@
       ...request,
       host: 'h',
       deadlineMilliseconds: DEADLINE_MILLISECONDS,
-      receivedAt: systemClock.now(),
+      receivedAt: clock.now(),
       relayed: undefined,
       signal: new AbortController().signal,
       isFollowed: () => false,
--- a/packages/gateway/src/__tests__/unit/lateRefusals.test.ts
+++ b/packages/gateway/src/__tests__/unit/lateRefusals.test.ts
@@ -4,7 +4,7 @@
  * position, and each part is written at every moment around the next request.
  */
 import type { Socket } from 'node:net';
-import { Counters, systemClock } from '@cactusrun/core';
+import { Counters, ManualClock, systemClock } from '@cactusrun/core';
 import { ScriptedTarget } from '@cactusrun/stand-ins';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import IdleReuse from '../../connections/IdleReuse.js';
@@ -40,6 +40,9 @@
 };
 
 describe('a refusal that a target writes once more on a kept connection', () => {
+  /** Stands still: no connection times out on a busy machine. */
+  const clock = new ManualClock();
+
   let server: ScriptedTarget;
 
   /** What the target does with a request, by its identifier. */
@@ -81,7 +84,7 @@
         kind: 'once',
         isRetry: false,
         needsNewConnection: false,
-        deadline: systemClock.now() + DEADLINE_MILLISECONDS,
+        deadline: clock.now() + DEADLINE_MILLISECONDS,
       },
       new AbortController().signal,
     );
@@ -94,9 +97,9 @@
     position: number,
     moments: readonly [Moment, Moment],
   ): Promise<AttemptResult> {
-    const idleReuse = new IdleReuse(systemClock);
+    const idleReuse = new IdleReuse(clock);
     const counters = new Counters();
-    const pool = new TargetConnections(NAMES, idleReuse, systemClock, counters, openConnection);
+    const pool = new TargetConnections(NAMES, idleReuse, clock, counters, openConnection);
     pools.push(pool);
     const [first, second] = [`${name}-first`, `${name}-second`];
     const copy = refusal(first);
