Space calls to a silent store by their starts, and don't wait for a peer's state

Callers: with a store that accepts calls and answers none, a daemon that no peer tells found out up to 2.75 s after its return that it answers again, and applied removals 4.75 s after the return.

Cause: the pause followed the 1.5 s in which a call times out, and the fetch of a peer's state, up to a second.

Change: the pause counts from the start of the failed call, and a peer's state is fetched meanwhile. A call that was open at the return is followed by the next one at once; calls that fail quickly keep their distance.

--- a/packages/gateway/src/__tests__/unit/MemoryStore.ts
+++ b/packages/gateway/src/__tests__/unit/MemoryStore.ts
@@ -16,6 +16,9 @@
 
   public isDown = false;
 
+  /** Waits before a call to a store that is down fails. */
+  public failAfter: () => Promise<void> = async () => {};
+
   /** Number of the next reads of the whole registry that fail. */
   public failingWholeReads = 0;
 
@@ -39,7 +42,8 @@
   }
 
   public async readConfiguration(after: number | undefined, wait: number, signal: AbortSignal) {
-    this.check();
+    this.calls += 1;
+    if (this.isDown) await this.fail();
     if (this.losesAnswers && wait > 0) return loseAnswer(signal);
     const position = Number(this.document);
     const document = after === position ? undefined : this.document;
@@ -55,7 +59,8 @@
 
   public async readTargets(after: number | undefined): Promise<TargetPage> {
     this.registryReads += 1;
-    this.check();
+    this.calls += 1;
+    if (this.isDown) await this.fail();
     if (after === undefined && this.failingWholeReads > 0) {
       this.failingWholeReads -= 1;
       throw new CactusrunError('busy', { step: 'reading', peer: 'store' });
@@ -88,9 +93,9 @@
     this.log = [...copy];
   }
 
-  private check(): void {
-    this.calls += 1;
-    if (this.isDown) throw new CactusrunError('down', { step: 'reading', peer: 'store' });
+  private async fail(): Promise<never> {
+    await this.failAfter();
+    throw new CactusrunError('down', { step: 'reading', peer: 'store' });
   }
 }
 
--- a/packages/gateway/src/state/StateFollower.ts
+++ b/packages/gateway/src/state/StateFollower.ts
@@ -152,6 +152,7 @@
       await clock.sleep(CHECK_INTERVAL_MILLISECONDS, signal);
       return;
     }
+    const startedAt = clock.now();
     try {
       await this.registry.read(() => this.availability.recordSuccess(), signal);
       const pause = state.lacksUsableDocument
@@ -160,7 +161,7 @@
       await clock.sleep(pause, signal);
     } catch (error) {
       if (signal.aborted) return;
-      await this.availability.recover('reading targets', error, signal);
+      await this.availability.recover({ step: 'reading targets', startedAt, error }, signal);
     }
   }
 
@@ -171,7 +172,7 @@
       await this.configuration.readNewest(signal);
     } catch (error) {
       if (signal.aborted) return;
-      await this.availability.handleFailure('reading the configuration', error);
+      this.availability.handleFailure('reading the configuration', error);
     }
   }
 
@@ -182,6 +183,7 @@
       await clock.sleep(CHECK_INTERVAL_MILLISECONDS, signal);
       return;
     }
+    const startedAt = clock.now();
     try {
       const hasRead = await this.configuration.read(signal);
       if (hasRead) {
@@ -192,7 +194,10 @@
       await clock.sleep(this.pacer.nextPause('reading-configuration'), signal);
     } catch (error) {
       if (signal.aborted) return;
-      await this.availability.recover('reading the configuration', error, signal);
+      await this.availability.recover(
+        { step: 'reading the configuration', startedAt, error },
+        signal,
+      );
     }
   }
 }
--- a/packages/gateway/src/state/StoreAvailability.ts
+++ b/packages/gateway/src/state/StoreAvailability.ts
@@ -4,7 +4,7 @@
 import type FleetMembers from '../fleet/FleetMembers.js';
 import type GatewayState from './GatewayState.js';
 
-/** Pause after a failed call, doubled up to the maximum. */
+/** Time from the start of a failed call to the next one, doubled up to the maximum. */
 const RETRY_DELAY_MILLISECONDS = 400;
 const MAXIMUM_RETRY_DELAY_MILLISECONDS = 1_000;
 /** While the store does not answer, state is fetched from one of this many most recent peers. */
@@ -20,6 +20,14 @@
   readonly logger: Logger;
 }
 
+/** A call to the store that failed. */
+export interface FailedCall {
+  readonly step: string;
+  /** Monotonic time at which it was made. */
+  readonly startedAt: number;
+  readonly error: unknown;
+}
+
 export default class StoreAvailability {
   private failures = 0;
 
@@ -34,8 +42,8 @@
     this.parts.logger.info('store-regained');
   }
 
-  /** Records a failed call, and fetches the state of a peer instead. */
-  public async handleFailure(step: string, error: unknown): Promise<void> {
+  /** Records a failed call, and has the state of a peer fetched instead. */
+  public handleFailure(step: string, error: unknown): void {
     const { members, random, logger, fetchFrom } = this.parts;
     this.failures += 1;
     if (!this.isLost) {
@@ -44,22 +52,23 @@
     }
     const known = members.knownAddresses().map(({ address }) => address);
     const address = pickOne(random, known.slice(-RECENT_PEERS));
-    if (address !== undefined) await fetchFrom(address);
+    if (address !== undefined) fetchFrom(address).catch(() => {});
   }
 
   /**
    * Handles a failed call, and waits before the next one: until the store has answered a peer after an
-   * outage, or else for a while.
+   * outage, or else for a while. Calls that took long to fail are not kept further apart.
    */
-  public async recover(step: string, error: unknown, signal: AbortSignal): Promise<void> {
+  public async recover({ step, startedAt, error }: FailedCall, signal: AbortSignal): Promise<void> {
     const { state, clock } = this.parts;
     const retry = new AbortController();
     state.storeContact
       .whenRegained()
       .then(() => retry.abort())
       .catch(() => {});
-    await this.handleFailure(step, error);
-    await clock.sleep(this.nextPause(), AbortSignal.any([signal, retry.signal]));
+    this.handleFailure(step, error);
+    const nextAt = startedAt + this.nextPause();
+    await clock.sleep(Math.max(0, nextAt - clock.now()), AbortSignal.any([signal, retry.signal]));
   }
 
   private nextPause(): number {
