Keep nothing of a failed call to the store after its pause

A daemon whose own link to the store is cut while peers confirm its state sees none, and would have gathered one for each failed call. The subscription now ends with the pause.

Evidence: found by reading; removalsAfterOutage, StateFollower, GatewayState and PeerStateServer tests pass.

--- a/packages/gateway/src/state/StoreAvailability.ts
+++ b/packages/gateway/src/state/StoreAvailability.ts
@@ -62,13 +62,11 @@
   public async recover({ step, startedAt, error }: FailedCall, signal: AbortSignal): Promise<void> {
     const { state, clock } = this.parts;
     const retry = new AbortController();
-    state.storeContact
-      .whenRegained()
-      .then(() => retry.abort())
-      .catch(() => {});
+    const unsubscribe = state.storeContact.subscribe(() => retry.abort());
     this.handleFailure(step, error);
     const nextAt = startedAt + this.nextPause();
     await clock.sleep(Math.max(0, nextAt - clock.now()), AbortSignal.any([signal, retry.signal]));
+    unsubscribe();
   }
 
   private nextPause(): number {
--- a/packages/gateway/src/state/StoreContact.ts
+++ b/packages/gateway/src/state/StoreContact.ts
@@ -11,8 +11,7 @@
 
   private regainedAt = Number.NEGATIVE_INFINITY;
 
-  /** Resolve the promises that wait for the end of an outage. */
-  private waiters: (() => void)[] = [];
+  private readonly listeners = new Set<() => void>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -33,19 +32,16 @@
     this.answeredAt = Math.max(this.answeredAt, answeredAt);
     if (!isAfterOutage) return;
     this.regainedAt = answeredAt;
-    this.resolveWaiters();
+    this.listeners.forEach((listener) => listener());
   }
 
-  /** Resolves when the store answers this daemon or a peer again after an outage. */
-  public async whenRegained(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.waiters.push(resolve);
-    });
-  }
-
-  private resolveWaiters(): void {
-    const { waiters } = this;
-    this.waiters = [];
-    waiters.forEach((resolve) => resolve());
+  /**
+   * Calls the listener when the store answers this daemon or a peer again after an outage.
+   *
+   * @returns undoes the subscription
+   */
+  public subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
   }
 }
