--- a/packages/gateway/src/state/StateFollower.ts
+++ b/packages/gateway/src/state/StateFollower.ts
@@ -158,6 +158,7 @@
       await clock.sleep(CHECK_INTERVAL_MILLISECONDS, signal);
       return;
     }
+    const startedAt = clock.now();
     try {
       await this.registry.read(() => this.availability.recordSuccess(), signal);
       const pause = state.lacksUsableDocument
@@ -166,7 +167,7 @@
       await clock.sleep(pause, signal);
     } catch (error) {
       if (signal.aborted) return;
-      await this.availability.recover('reading targets', error, signal);
+      await this.availability.recover({ step: 'reading targets', startedAt, error }, signal);
     }
   }
 
@@ -177,7 +178,7 @@
       await this.configuration.readNewest(signal);
     } catch (error) {
       if (signal.aborted) return;
-      await this.availability.handleFailure('reading the configuration', error);
+      this.availability.handleFailure('reading the configuration', error);
     }
   }
 
@@ -188,6 +189,7 @@
       await clock.sleep(CHECK_INTERVAL_MILLISECONDS, signal);
       return;
     }
+    const startedAt = clock.now();
     try {
       const hasRead = await this.configuration.read(signal);
       if (hasRead) {
@@ -198,7 +200,10 @@
       await clock.sleep(this.pacer.nextPause('reading-configuration'), signal);
     } catch (error) {
       if (signal.aborted) return;
-      await this.availability.recover('reading the configuration', error, signal);
+      await this.availability.recover(
+        { step: 'reading the configuration', startedAt, error },
+        signal,
+      );
     }
   }
 }
