Check the state that is fetched from a peer

Callers saw: a daemon that fetched the state of a faulty peer, or of one of another build, applied what it got: targets without an address or with a bad port, versions that are no numbers, and addresses of daemons that it passed on to all others. A state without end filled its memory for the second that a fetch may take.

Cause: the answer was unpacked without a bound and taken for a state as soon as it was JSON.

It is now decoded once, with the checks of the datagrams: without readable versions it is refused and logged as not fetched; unreadable entries of targets and addresses are left out one by one, as where the store is read, and fields of later versions are ignored. Beyond 64 MB, compressed or not, it is refused.

Thirteen new cases in PeerStateServer.test.ts; twelve failed before, and the one of size broke off the run (its failure could not even be printed).

--- a/packages/gateway/src/__tests__/unit/PeerStateServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerStateServer.test.ts
@@ -1,9 +1,11 @@
-import { get } from 'node:http';
+import type { Server } from 'node:http';
+import { createServer, get } from 'node:http';
+import { gzipSync } from 'node:zlib';
 import type { Stop } from '@cactusrun/core';
 import { Counters, ManualClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { StateSnapshot } from '../../state/GatewayState.js';
-import { fetchPeerState, servePeerState } from '../../state/PeerStateServer.js';
+import { fetchPeerState, listen, servePeerState } from '../../state/PeerStateServer.js';
 
 const ADDRESS = '127.0.7.21:17560';
 const ROUTES = 400;
@@ -70,3 +72,80 @@
     await expect(fetchSnapshot()).rejects.toMatchObject({ step: 'fetching state', peer: ADDRESS });
   });
 });
+
+const ODD_ADDRESS = '127.0.7.21:17561';
+const ENTRY = {
+  id: 't',
+  address: '127.0.0.9:80',
+  service: 's',
+  zone: 'z',
+  slots: 2,
+  isLeaving: false,
+  coldMilliseconds: 0,
+  bornAt: 5,
+  sequence: 1,
+};
+
+// A faulty peer, or one of another build, may send a state of any shape.
+describe('fetchPeerState from a peer with an odd state', () => {
+  const sound = { ...createSnapshot(3), targets: [ENTRY] };
+  let server: Server;
+  let bytes: Buffer;
+
+  beforeEach(async () => {
+    server = createServer((_, response) => response.end(bytes));
+    await listen(server, ODD_ADDRESS);
+  });
+
+  afterEach(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+
+  function fetchOdd(state: unknown): Promise<StateSnapshot> {
+    bytes = gzipSync(JSON.stringify(state));
+    return fetchPeerState(ODD_ADDRESS, new AbortController().signal);
+  }
+
+  describe('refuses', () => {
+    const odd: readonly unknown[] = [
+      null,
+      [],
+      7,
+      {},
+      { ...sound, document: {} },
+      { ...sound, targets: {} },
+      { ...sound, peers: undefined },
+      { ...sound, versions: undefined },
+      { ...sound, versions: { ...sound.versions, targets: 1e300 } },
+      { ...sound, versions: { ...sound.versions, configuration: 'x' } },
+      { ...sound, versions: { ...sound.versions, ageMilliseconds: -1 } },
+    ];
+    odd.forEach((state, index) => {
+      it(`case ${index}: ${JSON.stringify(state).slice(0, 40)}`, async () => {
+        await expect(fetchOdd(state)).rejects.toMatchObject({ step: 'fetching state' });
+      });
+    });
+  });
+
+  it('leaves out the entries and addresses that are none, and fields of later versions', async () => {
+    const targets = [
+      null,
+      { ...ENTRY, id: 'u', address: '127.0.0.9:99999' },
+      { ...ENTRY, id: 'v', slots: 0 },
+      { ...ENTRY, id: 7 },
+      { ...ENTRY, later: {} },
+    ];
+    const peers = [null, { address: '127.0.0.1:0' }, { address: 7 }, ...sound.peers];
+    expect(await fetchOdd({ ...sound, targets, peers, later: 1 })).toEqual(sound);
+  });
+
+  it('refuses a state that is much larger than any', async () => {
+    const fetching = fetchOdd({ ...sound, document: 'x'.repeat(70_000_000) });
+    const step = await fetching.then(
+      () => 'fetched',
+      (error: { step: string }) => error.step,
+    );
+    expect(step).toBe('fetching state');
+  });
+});
--- a/packages/gateway/src/state/PeerStateServer.ts
+++ b/packages/gateway/src/state/PeerStateServer.ts
@@ -5,6 +5,7 @@
 import { constants, gunzip, gzip } from 'node:zlib';
 import type { Clock, Counters, Stop } from '@cactusrun/core';
 import { CactusrunError, describeError } from '@cactusrun/core';
+import decodeStateSnapshot from './decodeStateSnapshot.js';
 import type { StateSnapshot } from './GatewayState.js';
 
 const compress = promisify(gzip);
@@ -15,6 +16,8 @@
 const FETCH_TIMEOUT_MILLISECONDS = 1_000;
 /** Fetches within this time get the same bytes: after an update many peers fetch at once. */
 const SNAPSHOT_REUSE_MILLISECONDS = 50;
+/** A compressed or whole state beyond this is none: a large fleet's takes some megabytes. */
+const MAXIMUM_STATE_BYTES = 64 * 1024 * 1024;
 const OK_STATUS = 200;
 const NOT_FOUND_STATUS = 404;
 
@@ -91,7 +94,10 @@
 export async function fetchPeerState(address: string, signal: AbortSignal): Promise<StateSnapshot> {
   try {
     const bytes = await fetchBytes(address, signal);
-    return JSON.parse((await decompress(bytes)).toString('utf8')) as StateSnapshot;
+    const text = await decompress(bytes, { maxOutputLength: MAXIMUM_STATE_BYTES });
+    const snapshot = decodeStateSnapshot(JSON.parse(text.toString('utf8')));
+    if (snapshot === undefined) throw new Error('the answer is not a state');
+    return snapshot;
   } catch (error) {
     throw new CactusrunError(
       describeError(error),
@@ -106,7 +112,12 @@
   return new Promise((resolve, reject) => {
     const receive = (response: IncomingMessage) => {
       const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      let size = 0;
+      response.on('data', (chunk: Buffer) => {
+        size += chunk.length;
+        if (size > MAXIMUM_STATE_BYTES) response.destroy(new Error('the state is too large'));
+        else chunks.push(chunk);
+      });
       response.on('error', reject);
       response.on('end', () => {
         if (response.statusCode === OK_STATUS) resolve(Buffer.concat(chunks));
