Leave out what is no address in the store's list of peers

A daemon that knows no peer took every text of the list for an address, tried to reach it and passed it on to all peers; daemons of earlier builds end on a bad port. The new case of PeerDiscovery.test.ts failed before: five addresses where one is sound.

--- a/packages/gateway/src/__tests__/unit/PeerDiscovery.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerDiscovery.test.ts
@@ -59,3 +59,27 @@
     expect(written).toHaveLength(2);
   });
 });
+
+// Daemons of any build write the list; what is no address would be passed on to all peers.
+describe('startPeerDiscovery of a daemon that knows no peer', () => {
+  it('leaves out what is no address in the list of the store', async () => {
+    const clock = new ManualClock();
+    const self = () => createPeerDescription('m');
+    const members = new FleetMembers(self, clock, silentLogger, () => {});
+    const listed = ['127.0.0.1:0', '127.0.0.1:65536', 'x', '', '127.0.0.2:9'];
+    const store = { restorations: 0, readPeers: async () => listed, writePeers: async () => {} };
+    const stop = startPeerDiscovery({
+      name: 'm',
+      address: 'm:1',
+      store: store as unknown as GatewayStore,
+      members,
+      clock,
+      logger: silentLogger,
+    });
+    await clock.advance(CHECKS_MILLISECONDS);
+    expect(members.knownAddresses()).toEqual([{ address: '127.0.0.2:9' }]);
+    const stopped = stop();
+    await clock.advance(CHECKS_MILLISECONDS);
+    await stopped;
+  });
+});
--- a/packages/gateway/src/fleet/PeerDiscovery.ts
+++ b/packages/gateway/src/fleet/PeerDiscovery.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock, Logger, Stop } from '@cactusrun/core';
 import { describeError, repeatUntilAborted, startTask } from '@cactusrun/core';
+import { isAddress } from './fieldChecks.js';
 import type FleetMembers from './FleetMembers.js';
 import type { GatewayStore } from '../state/GatewayStore.js';
 
@@ -53,7 +54,11 @@
 }
 
 async function readPeers(parts: PeerDiscoveryParts, signal: AbortSignal): Promise<void> {
-  const addresses = await parts.store.readPeers(signal);
+  const listed = await parts.store.readPeers(signal);
+  const addresses = listed.filter(isAddress);
   parts.members.addAddresses(addresses.map((address) => ({ address })));
-  parts.logger.info('peer-addresses-read', { addresses: addresses.length });
+  parts.logger.info('peer-addresses-read', {
+    addresses: addresses.length,
+    unreadable: listed.length - addresses.length,
+  });
 }
