Tell callers whose requests a stop gives up that they may have run

Cause: the end of the stop closed what was still at a target without a word. Change: those requests are given up first, their callers get 502 (stopped), which promises nothing, and 100 ms later the connections are closed. Evidence: the new case of plannedStop.test.ts failed before (nothing received, reset); the other cases of the file now let the 100 ms pass.

--- a/packages/command-line/src/explain/explainRequest.ts
+++ b/packages/command-line/src/explain/explainRequest.ts
@@ -112,6 +112,7 @@
   timeout: explainLost,
   'connection-broke': explainLost,
   'unsigned-answer': explainLost,
+  stopped: explainLost,
   stopping: ({ end }) => `Daemon ${end.host} was stopping. It has not run.`,
   answered: explainFailedAnswer,
   cancelled: () => 'The caller cancelled it before an answer arrived.',
--- a/packages/gateway/src/__tests__/unit/plannedStop.test.ts
+++ b/packages/gateway/src/__tests__/unit/plannedStop.test.ts
@@ -14,6 +14,8 @@
 /** More than half of a grace time of 6 s. */
 const LATE_MILLISECONDS = 3_100;
 const CUT_REQUESTS = 60;
+/** Time in which the last callers are told. */
+const LAST_ANSWERS_MILLISECONDS = 100;
 const LIMITS = {
   headerBytes: 4_000,
   bodyBytes: 100_000,
@@ -263,6 +265,20 @@
   });
 
   describe('at the end of its time', () => {
+    it('tells the caller of a request that its target works on that it may have run', async () => {
+      const busy = await openAtWork('long');
+      stop();
+      await clock.advance(STOP_TIMES.totalMilliseconds);
+      await until(() => busy.received() !== '');
+      await clock.advance(LAST_ANSWERS_MILLISECONDS);
+      await stopped;
+      await until(() => hasEnded(busy));
+      expect(busy.received()).toMatch(/^HTTP\/1.1 502 /);
+      expect(busy.received()).toContain('"reason":"stopped"');
+      expect(busy.received()).toContain('"notRun":false');
+      expect(busy.ending()).toBe('ended');
+    });
+
     it('logs each request that it cuts, with its age and whether a target works on it', async () => {
       await openAtWork('long');
       const slow = await open();
@@ -270,6 +286,7 @@
       await until(() => server.requestsInFlight === 2);
       stop();
       await clock.advance(STOP_TIMES.totalMilliseconds);
+      await clock.advance(LAST_ANSWERS_MILLISECONDS);
       await stopped;
       const milliseconds = STOP_TIMES.totalMilliseconds;
       const reason = 'stopped';
@@ -293,6 +310,7 @@
       await until(() => executed.length === CUT_REQUESTS);
       stop();
       await clock.advance(STOP_TIMES.totalMilliseconds);
+      await clock.advance(LAST_ANSWERS_MILLISECONDS);
       await stopped;
       const cut = lines.filter(({ event }) => event === 'request-cut');
       expect(cut.length).toBeGreaterThan(0);
--- a/packages/gateway/src/callers/CallerConnection.ts
+++ b/packages/gateway/src/callers/CallerConnection.ts
@@ -86,6 +86,11 @@
     this.startWaiting();
   }
 
+  /** Gives up the requests at targets and peers; their callers are told. */
+  public giveUp(): void {
+    this.requests.forEach((request) => request.giveUp());
+  }
+
   /** Waits until all earlier answers have been written, or the connection has ended. */
   public async awaitLead(request: PendingRequest): Promise<void> {
     if (!this.requests.includes(request) || request === this.requests[0]) return;
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -134,6 +134,11 @@
     });
   }
 
+  /** Gives up the requests at targets and peers; their callers are told that they may have run. */
+  public giveUp(): void {
+    this.connections.forEach((connection) => connection.giveUp());
+  }
+
   /** Closes every connection; one with an answer that is not whole is reset, so that this shows. */
   public closeNow(): void {
     this.connections.forEach((connection) => connection.resetHalfAnswered());
@@ -239,7 +244,8 @@
   /** Refuses a request in its turn, so that the refusals of those behind it still follow. */
   private async refuseStopping(incoming: Incoming): Promise<void> {
     await incoming.connection.awaitLead(incoming.request);
-    this.writeRefusal(incoming, { reason: 'stopping' });
+    const reason = incoming.request.mayHaveRun ? 'stopped' : 'stopping';
+    this.writeRefusal(incoming, { reason });
   }
 
   /** Time that the caller waits for the answer, if it states one. */
--- a/packages/gateway/src/callers/PendingRequest.ts
+++ b/packages/gateway/src/callers/PendingRequest.ts
@@ -47,12 +47,12 @@
     return this.connectionController.signal;
   }
 
-  /** Aborted also when the request is refused because the daemon stops. */
+  /** Aborted also when the daemon ends the execution because it stops. */
   public get executionSignal(): AbortSignal {
     return this.executionController.signal;
   }
 
-  /** Whether it was refused while it was executed, before it was passed on. */
+  /** Whether the daemon, which stops, has ended its execution. */
   public get isRefused(): boolean {
     return this.executionSignal.aborted && !this.signal.aborted;
   }
@@ -122,6 +122,16 @@
     if (this.stage === 'unsent') this.executionController.abort();
   }
 
+  /** Ends its execution at a target or a peer, as no time is left for its answer. */
+  public giveUp(): void {
+    if (this.stage === 'at-target') this.executionController.abort();
+  }
+
+  /** Whether a target or a peer may have executed it. */
+  public get mayHaveRun(): boolean {
+    return this.isPassedOn;
+  }
+
   /** Ends all waits for it, as its connection has ended. */
   public abort(): void {
     this.connectionController.abort();
--- a/packages/gateway/src/callers/Refusal.ts
+++ b/packages/gateway/src/callers/Refusal.ts
@@ -19,6 +19,7 @@
   | 'timeout'
   | 'unsigned-answer'
   | 'internal-error'
+  | 'stopped'
   | 'body-too-large'
   | 'headers-too-large'
   | 'memory-full'
@@ -141,6 +142,12 @@
     retryAfterMilliseconds: 0,
     meaning: 'the answer was not a genuine answer of the target; it may have run',
   },
+  stopped: {
+    status: 502,
+    isNotRun: false,
+    retryAfterMilliseconds: 0,
+    meaning: 'this daemon stopped before the target had answered; the request may have run',
+  },
   'internal-error': {
     status: 502,
     isNotRun: false,
--- a/packages/gateway/src/callers/shutDownGracefully.ts
+++ b/packages/gateway/src/callers/shutDownGracefully.ts
@@ -5,6 +5,9 @@
 /** Requests that are logged one by one when they are cut; all of them are counted. */
 const MAXIMUM_LOGGED_REQUESTS = 50;
 
+/** Time in which those whose requests are given up are told; part of the reserve for the exit. */
+const LAST_ANSWERS_MILLISECONDS = 100;
+
 /** Keeps serving for a while, then passes nothing new on and waits for the requests in flight. */
 export default async function shutDownGracefully(
   server: CallerServer,
@@ -21,6 +24,10 @@
     requestsCut: server.requestsInFlight,
     milliseconds: Math.round(clock.now() - startedAt),
   });
+  if (server.requestsInFlight > 0) {
+    server.giveUp();
+    await clock.sleep(LAST_ANSWERS_MILLISECONDS);
+  }
   server.closeNow();
 }
 
