End the fetch of a peer's state when the peer asks for another protocol

A peer that answers 101 left the fetch without a result, beyond its timeout of 1 s: Node closes such a connection without an error, and the request's signal does nothing any more. Each such fetch counts as one of the three that may run at a time, and its peer is never asked again. The answer now fails the fetch. The new case of PeerStateServer.test.ts timed out after 4 s before.

--- a/packages/gateway/src/__tests__/unit/PeerStateServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerStateServer.test.ts
@@ -140,6 +140,14 @@
     expect(await fetchOdd({ ...sound, targets, peers, later: 1 })).toEqual(sound);
   });
 
+  // A fetch without an end counts as one of the few that may run at a time.
+  it('fails when the peer asks for another protocol', async () => {
+    server.on('connection', (socket) => {
+      socket.end('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n');
+    });
+    await expect(fetchOdd(sound)).rejects.toMatchObject({ step: 'fetching state' });
+  });
+
   it('refuses a state that is much larger than any', async () => {
     const fetching = fetchOdd({ ...sound, document: 'x'.repeat(70_000_000) });
     const step = await fetching.then(
--- a/packages/gateway/src/state/PeerStateServer.ts
+++ b/packages/gateway/src/state/PeerStateServer.ts
@@ -124,9 +124,13 @@
         else reject(new Error(`status ${response.statusCode}`));
       });
     };
-    get(`http://${address}${STATE_PATH}`, { agent: false, signal: eitherSignal }, receive).on(
-      'error',
-      reject,
-    );
+    const url = `http://${address}${STATE_PATH}`;
+    const request = get(url, { agent: false, signal: eitherSignal }, receive);
+    request.on('error', reject);
+    // Without a listener, such an answer ends the connection without an error.
+    request.on('upgrade', (_, socket) => {
+      socket.destroy();
+      reject(new Error('the peer asks for another protocol'));
+    });
   });
 }
