Announce no changes of an answer that a later state has overtaken

Cause: since a reader announces all changes of a page, it also announced those of an answer that a peer's later state had overtaken, under that later position. A peer of the same position would have removed a target that had registered again.

Evidence: RegistryReader.test.ts failed before (the removal announced) and passes now.

--- a/packages/gateway/src/state/RegistryReader.ts
+++ b/packages/gateway/src/state/RegistryReader.ts
@@ -91,6 +91,11 @@
   private applyAndAnnounce(page: TargetPage): void {
     const { state } = this.parts;
     const after = state.position;
+    // A peer's state may have overtaken the answer.
+    if (page.position < after) {
+      this.announce(after, []);
+      return;
+    }
     if (!page.isWhole) {
       state.applyChanges(page.changes, page.position, 'store');
       // All of them: a peer may have missed what was announced while removals were held back.
