Keep a server alive when it cannot accept a connection

Found by reading, after the incident, as a way for one event to end a process: the listener of errors was spent once the server was bound, so that the second connection that the system does not let it accept (ENFILE, ENOBUFS) was an exception that nothing handles. All servers of the path on the platform bind through listen(), which counts such connections.

--- a/packages/gateway/src/__tests__/unit/PeerStateServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/PeerStateServer.test.ts
@@ -5,7 +5,8 @@
 import { Counters, ManualClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { StateSnapshot } from '../../state/GatewayState.js';
-import { fetchPeerState, listen, servePeerState } from '../../state/PeerStateServer.js';
+import listen from '../../listen.js';
+import { fetchPeerState, servePeerState } from '../../state/PeerStateServer.js';
 
 const ADDRESS = '127.0.7.21:17560';
 const ROUTES = 400;
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -4,11 +4,12 @@
 import type { Socket } from 'node:net';
 import { Server as ConnectionServer } from 'node:net';
 import type { Clock, Counters, Logger, Random } from '@cactusrun/core';
-import { CactusrunError, describeError } from '@cactusrun/core';
+import { describeError } from '@cactusrun/core';
 import { endToEndHeaders, listHeaders, refuseMalformed } from '@cactusrun/requests';
 import type { TargetAnswer } from '../connections/TargetAttempt.js';
 import type BodyRooms from '../memory/BodyRooms.js';
 import type { CallerLimits } from '../state/GatewayConfiguration.js';
+import listen from '../listen.js';
 import AnswerWriter from './AnswerWriter.js';
 import CallerConnection from './CallerConnection.js';
 import type { CallerExchange, CallerOutcome, Refused } from './CallerExchange.js';
@@ -25,7 +26,6 @@
   headerMilliseconds: 10_000,
   idleMilliseconds: 15_000,
 };
-const LISTEN_BACKLOG = 1_024;
 
 /** Names of header fields that callers set and the gateway reads. */
 export interface CallerFieldNames {
@@ -97,14 +97,8 @@
 
   /** @throws CactusrunError when the address cannot be bound */
   public async start(): Promise<void> {
-    const { address } = this.options;
-    const [host, port] = address.split(':');
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', (error) => {
-        reject(new CactusrunError(error.message, { step: 'binding for callers', peer: address }));
-      });
-      this.server.listen({ host, port: Number(port), backlog: LISTEN_BACKLOG }, resolve);
-    });
+    const { address, counters } = this.options;
+    await listen(this.server, address, counters);
   }
 
   /** Applies changed limits to connections from now on. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,6 @@
 export { default as ConfigurationRefusedError } from './state/ConfigurationRefusedError.js';
 export { chooseService, findRoute, isRepeatable } from './state/GatewayConfiguration.js';
-export { listen } from './state/PeerStateServer.js';
+export { default as listen } from './listen.js';
 export { openConnection } from './connections/openConnection.js';
 export { REFUSAL_RULES } from './callers/Refusal.js';
 export {
--- a/packages/gateway/src/state/PeerStateServer.ts
+++ b/packages/gateway/src/state/PeerStateServer.ts
@@ -1,11 +1,12 @@
 /** Serves the compressed state of a daemon to peers that lack it, and fetches theirs. */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer, get } from 'node:http';
 import { promisify } from 'node:util';
 import { constants, gunzip, gzip } from 'node:zlib';
 import type { Clock, Counters, Stop } from '@cactusrun/core';
 import { CactusrunError, describeError } from '@cactusrun/core';
 import decodeStateSnapshot from './decodeStateSnapshot.js';
+import listen from '../listen.js';
 import type { StateSnapshot } from './GatewayState.js';
 
 const compress = promisify(gzip);
@@ -68,24 +69,13 @@
     if (request.url === STATE_PATH) answer(response).catch(() => response.destroy());
     else response.writeHead(NOT_FOUND_STATUS).end();
   });
-  await listen(server, address);
+  await listen(server, address, counters);
   return async () => {
     server.close();
     server.closeAllConnections();
   };
 }
 
-/** Binds a server to `ip:port`. */
-export async function listen(server: Server, address: string): Promise<void> {
-  const [host, port] = address.split(':');
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', (error) => {
-      reject(new CactusrunError(error.message, { step: 'binding', peer: address }));
-    });
-    server.listen(Number(port), host, resolve);
-  });
-}
-
 /**
  * Fetches the state of a peer.
  *
