Show that one packet of a target ends the daemon

Nine informational answers and a final one in one packet: countInformational() closes the lease inside of the parser's callback, the response event follows in the same read, and releaseWhenFree() throws InvariantError in Node's parser, which nothing catches. The test fails.

--- a/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
@@ -80,6 +80,21 @@
     return `HTTP/1.1 ${status}\r\nX-Attempt: ${attempt}\r\nX-Signature: s\r\n${fields}\r\n`;
   }
 
+  it('survives a final answer in the packet of too many informational ones', async () => {
+    script = (socket, attempt) => {
+      const informational = 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(9);
+      socket.write(`${informational}${head(attempt, 'content-length: 2\r\n')}ok`);
+    };
+    const exceptions: Error[] = [];
+    const record = (error: Error) => exceptions.push(error);
+    process.on('uncaughtExceptionMonitor', record);
+    const result = await send();
+    await systemClock.sleep(50);
+    process.off('uncaughtExceptionMonitor', record);
+    expect(result).toMatchObject({ kind: 'broken' });
+    expect(exceptions).toEqual([]);
+  });
+
   interface Delivery {
     readonly result: AttemptResult;
     readonly bytes: number;
