Show that a request read whole gets no answer when a later body is refused

Caller pipelines an idempotent request, one that must run once, and an upload that is refused (too large, too late). writeRefusal marks the connection as closing at once, so that the waiting request before it never starts; its response stays open in Node's queue, and the connection hangs with two requests in flight.

--- a/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
@@ -122,6 +122,28 @@
     bodyRest.end('rest');
   }
 
+  describe('a request that was read whole', () => {
+    it.each([
+      ['is too large', 'content-length: 5000000\r\n'],
+      ['arrives too late', 'content-length: 5\r\nX-Deadline: 120\r\n'],
+    ])('is answered though the body of a later request %s', async (_name, fields) => {
+      socket.write(
+        `${get('a')}${post('b')}POST /a HTTP/1.1\r\nhost: h\r\nX-Attempt: c\r\n${fields}\r\nx`,
+      );
+      await systemClock.sleep(200);
+      expect(startedIds()).toEqual(['a']);
+      requestOf('a').answer();
+      await settle();
+      held.find(({ exchange }) => exchange.id === 'b')?.answer();
+      await systemClock.sleep(1_500);
+      expect({ answered: answeredIds(), isEnded, inFlight: server.requestsInFlight }).toEqual({
+        answered: ['a', 'b'],
+        isEnded: true,
+        inFlight: 0,
+      });
+    });
+  });
+
   describe('idempotent requests', () => {
     it('overlap up to the limit, and are answered in their order', async () => {
       socket.write(['a', 'b', 'c', 'd', 'e', 'f'].map((id) => get(id)).join(''));
