Ignore an answer that follows too many informational ones in one packet

Cause: the ninth informational answer ends the exchange inside of Node's parser; the final head in the same packet still reaches it, and the lease of the connection, which had ended, threw an invariant error that nothing handles. Change: an exchange that has ended reads no answer, and an ended lease can't be handed back.

--- a/packages/gateway/src/connections/ConnectionLease.ts
+++ b/packages/gateway/src/connections/ConnectionLease.ts
@@ -25,9 +25,12 @@
     return this.held;
   }
 
-  /** Hands the connection back as soon as Node's client has read the whole answer from it. */
+  /**
+   * Hands the connection back as soon as Node's client has read the whole answer from it; does
+   * nothing after the end of the lease.
+   */
   public releaseWhenFree(maximumIdleMilliseconds: number): void {
-    this.socket.once('free', () => this.release(maximumIdleMilliseconds));
+    this.held?.once('free', () => this.release(maximumIdleMilliseconds));
   }
 
   /** Hands the connection back, unless the lease has ended. */
--- a/packages/gateway/src/connections/TargetExchange.ts
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -129,6 +129,8 @@
     const { names, counters } = this.parts;
     const { lease, isReused } = this.connection;
     this.hasResponse = true;
+    // Bytes of one packet are still parsed after the exchange has failed on what came before them.
+    if (this.isSettled) return;
     if (belongsToAnotherRequest(response, names, this.request.id, isReused)) {
       counters.add('target_answers', 'of-another-request');
       this.fail('answer belongs to another request');
