Bound the numbers that targets state in answers

A rate limit of 400 digits became Infinity, which JSON writes as null, and a load of -5 was passed on: peers dropped the whole heartbeat or report, also what it said of other targets. Numbers are checked where answers are read, and of what earlier builds send on only the unreadable value is left out. Evidence: both cases of statementsOfTargets.test.ts failed before.

--- a/packages/gateway/src/connections/readTargetAnswer.ts
+++ b/packages/gateway/src/connections/readTargetAnswer.ts
@@ -107,22 +107,27 @@
 
 /** Milliseconds from a number of seconds; a date, which targets do not send, counts as none. */
 function readBackoff(text: string | undefined): number | undefined {
-  const isDecimal = text !== undefined && DECIMAL_NUMBER.test(text.trim());
-  return isDecimal ? Number(text) * MILLISECONDS_PER_SECOND : undefined;
+  const seconds = text === undefined ? undefined : readDecimal(text);
+  return seconds === undefined ? undefined : seconds * MILLISECONDS_PER_SECOND;
 }
 
 /** Requests that run and wait at the target, from `running,waiting,slots`. */
 function readLoad(text: string | string[] | undefined): number | undefined {
   const [running, waiting] = typeof text === 'string' ? text.split(',').map(Number) : [];
-  const isKnown = running !== undefined && waiting !== undefined;
-  return isKnown && Number.isFinite(running + waiting) ? running + waiting : undefined;
+  const isKnown = [running, waiting].every((count) => Number.isSafeInteger(count) && count! >= 0);
+  return isKnown ? running! + waiting! : undefined;
 }
 
 /** Requests per second, from a decimal number; undefined when the text is none. */
 function readRateLimit(text: string | string[] | undefined): RequestRate | undefined {
   if (text === undefined) return 'unlimited';
-  const isDecimal = typeof text === 'string' && DECIMAL_NUMBER.test(text.trim());
-  return isDecimal ? Number(text) : undefined;
+  return typeof text === 'string' ? readDecimal(text) : undefined;
+}
+
+/** A decimal number; undefined when the text is none, or one that is too large. */
+function readDecimal(text: string): number | undefined {
+  const value = DECIMAL_NUMBER.test(text.trim()) ? Number(text) : Number.NaN;
+  return Number.isFinite(value) ? value : undefined;
 }
 
 function fieldOf(response: IncomingMessage, name: string): string | string[] | undefined {
--- a/packages/gateway/src/fleet/decodeHeartbeat.ts
+++ b/packages/gateway/src/fleet/decodeHeartbeat.ts
@@ -38,7 +38,7 @@
     return undefined;
   }
   if (!isCounts(outstanding) || !isListOf(unhealthy, isUnhealthyRow)) return undefined;
-  if (!isListOf(rateLimits, isRateLimitRow) || !isListOf(leaving, isLeavingRow)) return undefined;
+  if (!Array.isArray(rateLimits) || !isListOf(leaving, isLeavingRow)) return undefined;
   return {
     kind: 'beat',
     sender,
@@ -49,7 +49,8 @@
     versions,
     outstanding,
     unhealthy: unhealthy.map(([target, age]) => ({ target, ageMilliseconds: age })),
-    rateLimits: rateLimits.map(([target, rate, age]) => ({
+    // Earlier versions pass on rates that targets state without end, which are no numbers here.
+    rateLimits: rateLimits.filter(isRateLimitRow).map(([target, rate, age]) => ({
       target,
       rate: decodeRate(rate),
       ageMilliseconds: age,
--- a/packages/gateway/src/fleet/decodeReports.ts
+++ b/packages/gateway/src/fleet/decodeReports.ts
@@ -1,12 +1,12 @@
 /** Checks and decodes reports of attempts and of use, which are lists in a fixed order. */
-import { isAmount, isListOf, isOptional, isText, isWhole } from './fieldChecks.js';
+import { isAmount, isListOf, isText, isWhole } from './fieldChecks.js';
 import type { AttemptReport, PeerMessage, UseReport, WorkspaceUse } from './PeerMessage.js';
 import { ATTEMPT_KINDS, NONE, OUTCOMES } from './wireNumbers.js';
 import { decodeRate, isRate } from './wireRates.js';
 
 type ReportsMessage = Extract<PeerMessage, { kind: 'calls' }>;
 /** Target, outstanding, event, reported requests, elapsed milliseconds and rate limit. */
-type ReportRow = readonly [string, number, number, number, number, number?];
+type ReportRow = readonly [string, number, number, number, number, unknown?];
 /** Workspace, count and recent. */
 type UseRow = readonly [string, number, number];
 
@@ -26,7 +26,10 @@
   return rows.map(([workspace, count, recent]) => ({ workspace, count, recent }));
 }
 
-/** An event of a later version is left out: the report still tells the outstanding requests. */
+/**
+ * An event of a later version is left out, and what a target stated that cannot be: the report still
+ * tells the outstanding requests.
+ */
 function decodeReport(row: ReportRow): AttemptReport {
   const [target, outstanding, event, reportedRequests, elapsedMilliseconds, rate] = row;
   const outcome = OUTCOMES[event - 1];
@@ -36,9 +39,9 @@
     outstanding,
     ...(attemptKind === undefined ? {} : { attemptKind }),
     ...(outcome === undefined ? {} : { outcome }),
-    ...(reportedRequests === NONE ? {} : { reportedRequests }),
+    ...(reportedRequests < 0 ? {} : { reportedRequests }),
     ...(elapsedMilliseconds === NONE ? {} : { elapsedMilliseconds }),
-    ...(rate === undefined ? {} : { rateLimit: decodeRate(rate) }),
+    ...(isRate(rate) ? { rateLimit: decodeRate(rate) } : {}),
   };
 }
 
@@ -51,14 +54,13 @@
 
 function isReportRow(row: unknown): row is ReportRow {
   if (!Array.isArray(row)) return false;
-  const [target, outstanding, event, reported, elapsed, rate] = row as readonly unknown[];
+  const [target, outstanding, event, reported, elapsed] = row as readonly unknown[];
   return (
     isText(target) &&
     isAmount(outstanding) &&
     isWhole(event) &&
-    isAmountOrNone(reported) &&
-    isAmountOrNone(elapsed) &&
-    isOptional(rate, isRate)
+    Number.isFinite(reported) &&
+    isAmountOrNone(elapsed)
   );
 }
 
