Answer the requests before one that is refused while its body arrives

Of requests sent behind one another, one that must run once and waited for its turn never got an answer, and its connection hung, when a later upload was refused at once: the refusal marked the whole connection as closing, so that nothing on it started any more, also before it. Change: what closes a connection binds the requests behind it only.

--- a/packages/gateway/src/callers/CallerConnection.ts
+++ b/packages/gateway/src/callers/CallerConnection.ts
@@ -24,6 +24,9 @@
   /** Whether an answer that closes the connection was begun. */
   private isClosing = false;
 
+  /** Requests before that answer, which are still executed and answered. */
+  private beforeClosing: readonly PendingRequest[] = [];
+
   /** Whether no further request can be read. */
   private hasEnded = false;
 
@@ -107,12 +110,16 @@
     request.beginAnswer();
     const isLast = this.hasEnded && request === this.requests.at(-1);
     if (this.isFollowed(request) || !(wantsClose || isLast || this.isClosing)) return false;
-    this.isClosing = true;
+    this.closeBehind(request);
     return true;
   }
 
-  /** Starts no further request: the connection is about to end. */
-  public startNoMore(): void {
+  /** Starts no request behind this one, whose answer ends the connection. */
+  public closeBehind(request: PendingRequest): void {
+    const earlier = this.requests.slice(0, Math.max(0, this.requests.indexOf(request)));
+    this.beforeClosing = this.isClosing
+      ? earlier.filter((other) => this.beforeClosing.includes(other))
+      : earlier;
     this.isClosing = true;
   }
 
@@ -139,7 +146,7 @@
    * way. Answers before it are written first.
    */
   public cut(request: PendingRequest): void {
-    this.isClosing = true;
+    this.closeBehind(request);
     if (this.requests[0] === request) this.socket.resetAndDestroy();
     else this.finish(request);
   }
@@ -153,27 +160,31 @@
   private isFollowed(request: PendingRequest): boolean {
     const later = this.requests.slice(this.requests.indexOf(request) + 1);
     return later.some(
-      ({ state }) => state === 'started' || (state === 'waiting' && !this.isClosing),
+      (other) => other.state === 'started' || (other.state === 'waiting' && this.mayFollow(other)),
     );
   }
 
   private closeWhenAnswered(): void {
     if (!this.isClosing && !this.hasEnded) return;
     const owed = this.isClosing
-      ? this.requests.filter(({ state }) => state === 'started')
+      ? this.requests.filter((request) => request.state === 'started' || this.mayFollow(request))
       : this.requests;
     if (owed.length === 0) this.socket.destroySoon();
   }
 
   private startWaiting(): void {
-    if (this.isClosing) return;
     this.requests.forEach((request, position) => {
-      if (request.state !== 'waiting') return;
+      if (request.state !== 'waiting' || !this.mayFollow(request)) return;
       if (this.isRefusing) request.start('refuse');
       else if (mayStart(request, this.requests.slice(0, position))) request.start('execute');
     });
   }
 
+  /** Whether the connection stays open for the answer to a request that has not started. */
+  private mayFollow(request: PendingRequest): boolean {
+    return !this.isClosing || this.beforeClosing.includes(request);
+  }
+
   /** Applies back pressure to a caller that sends requests faster than they are answered. */
   private limitReading(): void {
     const unanswered = this.requests.filter(({ state }) => state !== 'reading');
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -296,7 +296,7 @@
       return;
     }
     const endsBody = AnswerWriter.endsWithConnection(response, answer);
-    if (endsBody) connection.startNoMore();
+    if (endsBody) connection.closeBehind(request);
     const closes = this.closesWith(incoming) || endsBody;
     AnswerWriter.writeAnswer(response, answer, closes, (error) => {
       this.recordCut(incoming, 'answer-broke-off', error);
