Give two test files ports of their own

plannedStop.test.ts and requestBodiesInMemory.test.ts were written side by side with the same port; seven cases failed with EADDRINUSE when both files ran at once.

--- a/packages/gateway/src/__tests__/unit/requestBodiesInMemory.test.ts
+++ b/packages/gateway/src/__tests__/unit/requestBodiesInMemory.test.ts
@@ -11,7 +11,7 @@
 import createTargetAnswer from './createTargetAnswer.js';
 
 const HOST = '127.0.8.1';
-const PORT = 18_553;
+const PORT = 18_566;
 const MEGABYTE = 1_048_576;
 const LARGE_LIMIT_BYTES = 7 * MEGABYTE;
 const LIMITS = {
