Refuse by the clock what a stopping daemon reads after its serving time

A process that was suspended or held up reads what has arrived before its timers run, and passed it on; and as the end was counted from the late timer, the end came late too, where the platform kills.

Now the permission to pass a request on compares the monotonic clock with the end of the serving time, and the end is a moment counted from the signal's handling.

Evidence: two new tests of plannedStop.test.ts, with a clock that goes on without its timers. The fixture refuses as the execution does when it may not pass on.

--- a/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
@@ -10,6 +10,8 @@
 
 const HOST = '127.0.8.1';
 const PORT = 18_551;
+/** Longer than a test takes. */
+const SERVING_MILLISECONDS = 60_000;
 const LIMITS = {
   headerBytes: 4_000,
   bodyBytes: 4_000_000,
@@ -249,7 +251,7 @@
     it('is the one to the last request that was read whole, while draining', async () => {
       socket.write(`${get('a') + get('b') + post('c')}${post('d').slice(0, -1)}`);
       await settle();
-      server.beginDraining();
+      server.beginDraining(SERVING_MILLISECONDS);
       requestOf('b').answer();
       requestOf('a').answer();
       await settle();
@@ -336,7 +338,7 @@
     it('refuses requests that arrive on open connections until the last one has ended', async () => {
       socket.write(get('a'));
       await settle();
-      server.beginDraining();
+      server.beginDraining(SERVING_MILLISECONDS);
       const drained = server.finishDraining();
       socket.write(get('b'));
       await settle();
--- a/packages/gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerServer.test.ts
@@ -15,6 +15,8 @@
 /** Bytes of answers that the server may hold, and of one that the network does not take at once. */
 const HELD_BYTES = 40_000_000;
 const LARGE_BYTES = 30_000_000;
+/** Longer than a test takes. */
+const SERVING_MILLISECONDS = 60_000;
 const LIMITS = {
   headerBytes: 1_000,
   bodyBytes: 100,
@@ -226,7 +228,7 @@
     });
 
     it('closes the connection once the daemon is draining', async () => {
-      server.beginDraining();
+      server.beginDraining(SERVING_MILLISECONDS);
       expect(await exchange(request(), never)).toContain('connection: close');
     });
   });
--- a/packages/gateway/src/__tests__/unit/plannedStop.test.ts
+++ b/packages/gateway/src/__tests__/unit/plannedStop.test.ts
@@ -4,6 +4,7 @@
 import { Counters, createRandom, ManualClock, silentLogger, systemClock } from '@cactusrun/core';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
+import { refuse } from '../../callers/CallerExchange.js';
 import CallerServer from '../../callers/CallerServer.js';
 import shutDownGracefully from '../../callers/shutDownGracefully.js';
 import createTargetAnswer from './createTargetAnswer.js';
@@ -80,7 +81,7 @@
   }
 
   function execute(exchange: CallerExchange): Promise<CallerOutcome> {
-    if (passesOn) exchange.passOn();
+    if (passesOn && !exchange.passOn()) return Promise.resolve(refuse('stopping'));
     return new Promise((resolve) => {
       const bodyStart = Buffer.from(`body of ${exchange.id}.`);
       exchange.signal.addEventListener('abort', () => resolve({ kind: 'cancelled' }));
@@ -175,6 +176,30 @@
     });
   });
 
+  describe('of a process that was suspended, so that its timers are late', () => {
+    it('passes nothing on that it reads before its timers run', async () => {
+      const kept = await openKept();
+      stop();
+      await settle();
+      clock.pause(LATE_MILLISECONDS);
+      kept.socket.write(post('late'));
+      await until(() => hasEnded(kept));
+      expectRefusal(kept.received().slice(kept.received().indexOf('body of before.')));
+      await clock.advance(0);
+    });
+
+    it('gives up what is left at the end of its time, counted from the signal', async () => {
+      const busy = await openAtWork('long');
+      stop();
+      await settle();
+      clock.pause(LATE_MILLISECONDS);
+      await clock.advance(STOP_TIMES.totalMilliseconds - LATE_MILLISECONDS);
+      await until(() => busy.received() !== '');
+      expect(busy.received()).toMatch(/^HTTP\/1.1 502 /);
+      await clock.advance(LAST_ANSWERS_MILLISECONDS);
+    });
+  });
+
   describe('after the serving time', () => {
     it('passes no request of a kept connection on, which it would cut at its target', async () => {
       const kept = await openKept();
--- a/packages/gateway/src/callers/CallerServer.ts
+++ b/packages/gateway/src/callers/CallerServer.ts
@@ -74,7 +74,10 @@
 
   private isDraining = false;
 
-  /** Whether nothing new is passed on any more. */
+  /** Monotonic time from which on nothing new is passed on. */
+  private refusesFrom = Number.POSITIVE_INFINITY;
+
+  /** Whether what has not been passed on is refused. */
   private isRefusing = false;
 
   private onIdle: (() => void) | undefined;
@@ -107,9 +110,15 @@
     this.server.headersTimeout = limits.headerMilliseconds;
   }
 
-  /** From now on each connection closes with the answer to the last request that was started. */
-  public beginDraining(): void {
+  /**
+   * From now on each connection closes with the answer to the last request that was started.
+   *
+   * @param servingMilliseconds - time from now after which nothing new is passed on, even if the call
+   *   of `finishDraining` is late
+   */
+  public beginDraining(servingMilliseconds: number): void {
     this.isDraining = true;
+    this.refusesFrom = this.options.clock.now() + servingMilliseconds;
   }
 
   /**
@@ -117,8 +126,7 @@
    * passed on is refused, also what arrives meanwhile on open connections.
    */
   public async finishDraining(): Promise<void> {
-    this.isRefusing = true;
-    this.connections.forEach((connection) => connection.refuseUnsent());
+    this.refuseUnsent();
     // The HTTP server's own close() also destroys connections whose answer is ended but not yet
     // handed to the network. Idle connections are left to closeNow().
     ConnectionServer.prototype.close.call(this.server);
@@ -150,6 +158,16 @@
     return [...this.connections.values()].flatMap(({ unanswered }) => unanswered);
   }
 
+  private refuseUnsent(): void {
+    this.isRefusing = true;
+    this.connections.forEach((connection) => connection.refuseUnsent());
+  }
+
+  private passOn(request: PendingRequest): boolean {
+    if (!this.isRefusing && this.options.clock.now() >= this.refusesFrom) this.refuseUnsent();
+    return request.passOn();
+  }
+
   private receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.connectionOf(request.socket);
     const pending = connection.add({
@@ -267,7 +285,7 @@
       receivedAt: pending.head.receivedAt,
       relayed: isForPeers ? decodeStatement(request.headers) : undefined,
       signal: pending.executionSignal,
-      passOn: () => pending.passOn(),
+      passOn: () => this.passOn(pending),
     };
   }
 
--- a/packages/gateway/src/callers/shutDownGracefully.ts
+++ b/packages/gateway/src/callers/shutDownGracefully.ts
@@ -15,10 +15,10 @@
 ): Promise<void> {
   const { clock, logger, stopTimes } = options;
   const startedAt = clock.now();
-  server.beginDraining();
+  const endsAt = startedAt + stopTimes.totalMilliseconds;
+  server.beginDraining(stopTimes.servingMilliseconds);
   await clock.sleep(stopTimes.servingMilliseconds);
-  const remaining = Math.max(0, stopTimes.totalMilliseconds - stopTimes.servingMilliseconds);
-  await Promise.race([server.finishDraining(), clock.sleep(remaining)]);
+  await Promise.race([server.finishDraining(), clock.sleep(Math.max(0, endsAt - clock.now()))]);
   logCutRequests(server, options);
   logger.info('leaving-done', {
     requestsCut: server.requestsInFlight,
