Reset the connection of an HTTP/1.0 caller whose answer breaks off

Cause: EntryServer destroyed the response, which ends the connection with a FIN.

Evidence: the new test of EntryServer.test.ts failed before ("expected false to be true": no reset); 20 of 20 now. Chunks and lengths showed a cut before as well.

--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -188,7 +188,7 @@
     response.writeHead(answer.status, joinHeaders(forwardedHeaders(answer.headers)));
     body.on('error', () => {
       counters.add('outcomes', 'answer-broke-off');
-      response.destroy();
+      cut(response);
     });
     response.on('close', () => {
       if (!response.writableFinished) body.destroy();
@@ -223,3 +223,12 @@
     refuseMalformed(error, socket, `${CALLER_HEADERS.reason}: malformed\r\n`);
   }
 }
+
+/**
+ * Ends the connection in place of the rest of an answer. It is reset: to HTTP/1.0 an answer without a
+ * length looks whole when its connection ends in the ordinary way.
+ */
+function cut(response: ServerResponse): void {
+  response.socket?.resetAndDestroy();
+  response.destroy();
+}
--- a/packages/daemon/src/__tests__/unit/EntryServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/EntryServer.test.ts
@@ -11,22 +11,34 @@
 const HEADER_BYTES = 8 * 1024;
 const BODY_BYTES = 1024 * 1024;
 
-/** Writes raw bytes and reads until the server closes the connection or the text has arrived. */
-function exchange(bytes: string, until?: string): Promise<string> {
+interface Received {
+  readonly text: string;
+  readonly isReset: boolean;
+}
+
+/** Writes raw bytes and reads until the server ends the connection or the text has arrived. */
+function exchangeToEnd(bytes: string, until?: string): Promise<Received> {
   const [host, port] = ADDRESS.split(':');
   return new Promise((resolve) => {
     const socket = createConnection({ host: host!, port: Number(port) });
     let text = '';
+    let isReset = false;
     socket.on('data', (chunk) => {
       text += chunk.toString('latin1');
       if (until !== undefined && text.includes(until)) socket.destroy();
     });
-    socket.on('error', () => {});
-    socket.on('close', () => resolve(text));
+    socket.on('error', () => {
+      isReset = true;
+    });
+    socket.on('close', () => resolve({ text, isReset }));
     socket.write(bytes, 'latin1');
   });
 }
 
+async function exchange(bytes: string, until?: string): Promise<string> {
+  return (await exchangeToEnd(bytes, until)).text;
+}
+
 describe('EntryServer', () => {
   const counters = new Counters();
   let seen: CallerRequest[] = [];
@@ -176,6 +188,18 @@
       expect(text).not.toMatch(/\r\n0\r\n\r\n$/);
     });
 
+    it('reset the connection of an HTTP/1.0 caller, to whom its end would look whole', async () => {
+      answer = async () => {
+        const body = new PassThrough();
+        body.write('half');
+        setTimeout(() => body.destroy(new Error('cut')), 20);
+        return { kind: 'answered', status: 200, headers: [], body };
+      };
+      const { text, isReset } = await exchangeToEnd('GET /a HTTP/1.0\r\nHost: x\r\n\r\n');
+      expect(text).toContain('half');
+      expect(isReset).toBe(true);
+    });
+
     it('omit hop-by-hop and cactusrun- header fields', async () => {
       answer = async () => ({
         kind: 'answered',
