Move the division of the grace time to the core package

Both programs, the one of the platform and the product's own, are to divide the grace time of a stop alike.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export { default as parseAddress } from './parseAddress.js';
 export { createRandom, pickOne, shuffle } from './Random.js';
 export { startRepeatedTask } from './RepeatedTask.js';
+export { divideGraceTime } from './StopTimes.js';
 export { inSequence, mergeStops, repeatUntilAborted, startTask } from './Task.js';
 export { default as Timing } from './Timing.js';
 export { floorOf } from './DomainTypes.js';
@@ -21,6 +22,7 @@
 export type { SocketAddress } from './parseAddress.js';
 export type { Random } from './Random.js';
 export type { RepeatedTask } from './RepeatedTask.js';
+export type { StopTimes } from './StopTimes.js';
 export type { Stop } from './Task.js';
 export type { TimingSummary } from './Timing.js';
 export type {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,7 +19,7 @@
   GatewayRoute,
   RequestKind,
 } from './state/GatewayConfiguration.js';
-export type { GatewayOptions, StopTimes } from './wiring/GatewayOptions.js';
+export type { GatewayOptions } from './wiring/GatewayOptions.js';
 export type {
   ConfigurationPage,
   GatewayStore,
--- a/packages/gateway/src/wiring/GatewayOptions.ts
+++ b/packages/gateway/src/wiring/GatewayOptions.ts
@@ -1,5 +1,5 @@
 /** What the data path needs from the program that embeds it. */
-import type { Clock, Counters, Logger, Random } from '@cactusrun/core';
+import type { Clock, Counters, Logger, Random, StopTimes } from '@cactusrun/core';
 import type { CallerFieldNames } from '../callers/CallerServer.js';
 import type { OpenConnection } from '../connections/openConnection.js';
 import type { GatewayConfiguration } from '../state/GatewayConfiguration.js';
@@ -8,14 +8,6 @@
 import type { QuotaBounds } from '../limits/QuotaBounds.js';
 import type { TargetFieldNames } from '../connections/TargetAttempt.js';
 
-/** Durations of a graceful shutdown, counted from the signal. */
-export interface StopTimes {
-  /** New connections and requests are still accepted for this long. */
-  readonly servingMilliseconds: number;
-  /** Requests that still run are cut off after this long. */
-  readonly totalMilliseconds: number;
-}
-
 export interface GatewayOptions {
   readonly name: string;
   readonly zone: string;
