Stop a daemon of the product's own path within its grace time

The stop waited up to a fixed 30 s for an idle moment, whatever grace time the platform gave, then for callers without a bound, and was killed with what it held. Requests that peers had forwarded by ticket were not waited for at all.

Cause: no statement of what a stopping daemon does with a request, and no grace time in its settings.

Now the settings state the grace time, and it is divided as on the platform's path: serve, then refuse what has not been passed on as not run, at the end tell the callers of the rest that it may have run, and reset begun answers. Answers of a stopping daemon close their connections (behind the last answer owed there) and carry no ticket, which nobody could use after it. A request queued behind others on a connection that its caller closed no longer counts as in flight for ever. "stopping" advises a fresh ticket: the same one names a daemon that is about to go, and a proved "not run" became an unknown outcome that way.

--- a/packages/bench/src/Fleet.ts
+++ b/packages/bench/src/Fleet.ts
@@ -23,6 +23,8 @@
   /** Whether daemons reach peers in the other region through the link stand-in. */
   readonly hasLink: boolean;
   readonly workMilliseconds?: number;
+  /** Grace time of a stop; that of the settings if absent. */
+  readonly graceMilliseconds?: number;
 }
 
 /** `ip:port` of a host of a fleet. */
@@ -115,9 +117,13 @@
 
   /** Starts the daemon with this index, also as the replacement of a stopped one. */
   public startDaemon(index: number): Promise<Daemon> {
-    const { deployment, daemons, hasLink, logger, seed } = this.options;
+    const { deployment, daemons, hasLink, logger, seed, graceMilliseconds } = this.options;
+    const settings = fleetSettings(deployment, index, daemons, hasLink);
     return startDaemon({
-      settings: fleetSettings(deployment, index, daemons, hasLink),
+      settings:
+        graceMilliseconds === undefined
+          ? settings
+          : { ...settings, shutdown: { graceMilliseconds } },
       clock: this.clock,
       logger: logger ?? silentLogger,
       seed: seed + index + 1,
--- a/packages/bench/src/__tests__/faults/atMostOnce.test.ts
+++ b/packages/bench/src/__tests__/faults/atMostOnce.test.ts
@@ -124,7 +124,7 @@
       ticket ??= answer?.ticket;
       const usesTicketAddress = random.unit() < 0.7;
       const address =
-        usesTicketAddress && answer !== undefined
+        usesTicketAddress && answer?.ticketAddress !== undefined
           ? answer.ticketAddress
           : pickOne(random, entries)!;
       const call = { ...deployment.order, method: 'POST' as const, body, identity, address };
--- a/packages/bench/src/startFleet.ts
+++ b/packages/bench/src/startFleet.ts
@@ -3,6 +3,7 @@
 import { createLogger, describeError, systemClock } from '@cactusrun/core';
 import Table from 'cli-table3';
 import { Cli, Command, Option } from 'clipanion';
+import { MINIMUM_GRACE_MILLISECONDS } from '@cactusrun/daemon';
 import Caller from './Caller.js';
 import type { Deployment, DeploymentName } from './Deployment.js';
 import { DEPLOYMENTS } from './Deployment.js';
@@ -13,6 +14,7 @@
 
 const DAEMONS = 4;
 const JOIN_WAIT_MILLISECONDS = 1_500;
+const GRACE_MILLISECONDS = 30_000;
 const LOAD = { lookups: 300, orders: 100, uploads: 6, uploadBytes: 300_000, concurrency: 8 };
 const EXIT_STATUS = { ok: 0, failed: 1 } as const;
 
@@ -39,6 +41,10 @@
     description: 'kreupelhout or tuul.',
   });
 
+  public grace = Option.String('--grace', String(GRACE_MILLISECONDS), {
+    description: 'Grace time of each daemon when it is interrupted, in milliseconds.',
+  });
+
   public seed = Option.String('--seed', '1', {
     description: 'Seed of the random number generator.',
   });
@@ -50,12 +56,18 @@
       stderr.write(`--deployment must be ${Object.keys(DEPLOYMENTS).join(' or ')}\n`);
       return EXIT_STATUS.failed;
     }
+    const graceMilliseconds = Number(this.grace);
+    if (!(graceMilliseconds >= MINIMUM_GRACE_MILLISECONDS)) {
+      stderr.write(`--grace must be a number of at least ${MINIMUM_GRACE_MILLISECONDS}\n`);
+      return EXIT_STATUS.failed;
+    }
     const logger = createLogger('fleet');
     const fleet = new Fleet({
       deployment,
       daemons: DAEMONS,
       seed: Number(this.seed),
       hasLink: true,
+      graceMilliseconds,
       ...(this.once ? {} : { logger }),
     });
     try {
--- a/packages/core/src/Outcome.ts
+++ b/packages/core/src/Outcome.ts
@@ -29,6 +29,7 @@
   | 'keeper-changed'
   | 'keeper-doubts-itself'
   | 'stopping'
+  | 'stopped'
   | 'connect-failed'
   | 'target-shed'
   | 'caller-cancelled'
@@ -139,7 +140,14 @@
     1,
     'the keeper was paused or cut off and has not yet heard from its peers again',
   ],
-  stopping: ['not-run', 503, 'same-ticket', 1, 'the host is leaving'],
+  stopping: ['not-run', 503, 'fresh-ticket', 1, 'the host is leaving: take another one'],
+  stopped: [
+    'unknown',
+    502,
+    'same-ticket',
+    0,
+    'the host is leaving; this request, or an earlier one with its ticket, may have run',
+  ],
   'connect-failed': ['not-run', 503, 'same-ticket', 1, 'no connection to any target'],
   'target-shed': ['not-run', 503, 'same-ticket', 1, 'the target said that it did not run it'],
   'caller-cancelled': ['not-run', 499, 'same-ticket', 0, 'the caller went away first'],
--- a/packages/core/src/__tests__/StopTimes.test.ts
+++ b/packages/core/src/__tests__/unit/StopTimes.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { divideGraceTime } from '../StopTimes.js';
+import { divideGraceTime } from '../../StopTimes.js';
 
 describe('divideGraceTime', () => {
   it.each([200, 500, 1_000, 2_000, 4_000, 6_000, 10_000])(
--- a/packages/daemon/src/CallerDirectory.ts
+++ b/packages/daemon/src/CallerDirectory.ts
@@ -4,6 +4,7 @@
 import type { Counters, Host, Random } from '@cactusrun/core';
 import { shuffle } from '@cactusrun/core';
 import type { Member, Membership } from '@cactusrun/membership';
+import type StopGate from './StopGate.js';
 
 export const DIRECTORY_PATH = '/.well-known/cactusrun/directory';
 /** How long a caller may cache an answer; a host that shuts down keeps serving for this long. */
@@ -23,6 +24,7 @@
   readonly membership: Membership;
   readonly random: Random;
   readonly counters: Counters;
+  readonly gate: Pick<StopGate, 'isStopping'>;
   readonly issueTicket: () => string;
 }
 
@@ -39,9 +41,9 @@
   readonly addresses: readonly DirectoryAddress[];
   readonly timeToLiveSeconds: number;
   readonly revision: number;
-  /** Ticket for one non-idempotent request to `ticketAddress`. */
-  readonly ticket: string;
-  readonly ticketAddress: string;
+  /** Ticket for one non-idempotent request to `ticketAddress`; none of a host that leaves. */
+  readonly ticket?: string;
+  readonly ticketAddress?: string;
 }
 
 export default class CallerDirectory {
@@ -49,7 +51,7 @@
 
   /** Creates the answer for a caller in the zone. */
   public answer(service: string, zone: string | undefined): DirectoryAnswer {
-    const { self, store, membership, random, issueTicket } = this.options;
+    const { self, store, membership, random, gate, issueTicket } = this.options;
     const region = membership.members().find(({ host }) => host.zone === zone)?.host.region;
     const ranked = shuffle(random, membership.serving())
       .map((member) => ({ member, rank: rankOf(member, zone ?? self.zone, region ?? self.region) }))
@@ -64,8 +66,7 @@
       })),
       timeToLiveSeconds: DIRECTORY_TTL_SECONDS,
       revision: store.current.revision,
-      ticket: issueTicket(),
-      ticketAddress: self.callerAddress,
+      ...(gate.isStopping ? {} : { ticket: issueTicket(), ticketAddress: self.callerAddress }),
     };
   }
 
--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -3,22 +3,22 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
+import { Server as ConnectionServer } from 'node:net';
 import type { Clock, Counters, OutcomeReason, Stop } from '@cactusrun/core';
-import { CactusrunError, OUTCOME_RULES } from '@cactusrun/core';
+import { CactusrunError } from '@cactusrun/core';
 import { listHeaders, refuseMalformed } from '@cactusrun/requests';
 import type { CallerAnswer, CallerRequest } from './CallerRequest.js';
 import { CALLER_HEADERS, refused } from './CallerRequest.js';
 import type CallerDirectory from './CallerDirectory.js';
 import { DIRECTORY_PATH } from './CallerDirectory.js';
-import { forwardedHeaders, joinHeaders } from './headers.js';
 import type { BodyHead } from './readBodyHead.js';
 import { readBodyHead } from './readBodyHead.js';
+import type StopGate from './StopGate.js';
+import { cut, writeAnswer, writeRefusal } from './writeCallerAnswer.js';
 
 /** Applies to the request's header section and to the first part of its body. */
 const READ_TIMEOUT_MILLISECONDS = 10_000;
 const KEEP_ALIVE_MILLISECONDS = 5_000;
-/** Time to flush the last responses before connections are closed. */
-const CLOSE_GRACE_MILLISECONDS = 1_000;
 const DEFAULT_WORKSPACE = 'default';
 
 export interface EntryServerOptions {
@@ -30,6 +30,7 @@
   readonly clock: Clock;
   readonly counters: Counters;
   readonly directory: CallerDirectory;
+  readonly gate: StopGate;
   readonly handle: (request: CallerRequest) => Promise<CallerAnswer>;
   readonly issueTicket: () => string;
   /** Whether an earlier request with the ticket may have run. */
@@ -42,14 +43,18 @@
   cut: 'caller-cancelled',
 };
 
+/** A request whose response is not complete. */
+interface PendingResponse {
+  readonly startedAt: number;
+  /** Aborted when the caller disconnects. */
+  readonly controller: AbortController;
+}
+
 export default class EntryServer {
   private readonly server: Server;
 
-  private inFlight = 0;
-
-  private isStopping = false;
-
-  private onIdle: (() => void) | undefined;
+  /** In the order of their arrival. */
+  private readonly pending = new Map<ServerResponse, PendingResponse>();
 
   constructor(private readonly options: EntryServerOptions) {
     this.server = createServer(
@@ -64,11 +69,12 @@
         this.serve(request, response).catch(() => response.destroy());
       },
     );
+    this.server.on('connection', (socket) => socket.once('close', () => this.endAll(socket)));
     this.server.on('clientError', (error, socket) => this.rejectMalformed(error, socket as Socket));
   }
 
   /**
-   * Starts serving. The returned function stops the server after the requests in flight.
+   * Starts serving. The returned function ends it without waiting for requests in flight.
    *
    * @throws CactusrunError when the address cannot be bound
    */
@@ -81,53 +87,66 @@
       });
       this.server.listen(Number(port), ip, resolve);
     });
-    return () => this.stop();
+    return () => this.closeConnections();
   }
 
   /** Number of callers' requests without a complete response. */
   public get requestsInFlight(): number {
-    return this.inFlight;
+    return this.pending.size;
+  }
+
+  /** Accepts no further connections. Open ones stay, so that requests on them can be refused. */
+  public stopListening(): void {
+    // The HTTP server's own close() also closes idle connections.
+    ConnectionServer.prototype.close.call(this.server);
+  }
+
+  /** Tells the callers that wait for an answer that their request may have run. */
+  public giveUp(): void {
+    [...this.pending.keys()]
+      .filter(({ headersSent }) => !headersSent)
+      .forEach((response) => this.respond(response, refused('stopped')));
   }
 
-  private async stop(): Promise<void> {
-    this.isStopping = true;
+  /** Closes all connections; one with an answer that is not whole is reset, so that this shows. */
+  public async closeConnections(): Promise<void> {
+    [...this.pending.keys()].filter(({ headersSent }) => headersSent).forEach(cut);
     const closed = new Promise<void>((resolve) => {
       this.server.close(() => resolve());
     });
-    this.server.closeIdleConnections();
-    if (this.inFlight > 0) {
-      await new Promise<void>((resolve) => {
-        this.onIdle = resolve;
-      });
-    }
-    this.server.closeIdleConnections();
-    await Promise.race([closed, this.options.clock.sleep(CLOSE_GRACE_MILLISECONDS)]);
     this.server.closeAllConnections();
     await closed;
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { directory, counters, clock } = this.options;
+    const { directory, clock } = this.options;
     if ((request.url ?? '').startsWith(DIRECTORY_PATH)) {
       directory.serve(request, response);
       return;
     }
-    const startedAt = clock.now();
-    this.inFlight += 1;
-    response.on('close', () => {
-      this.inFlight -= 1;
-      if (this.inFlight === 0) this.onIdle?.();
-      counters.time('request', clock.now() - startedAt);
-    });
     const controller = new AbortController();
-    // Aborts only if the caller disconnected before the response was complete: aborting is costly.
-    response.on('close', () => {
-      if (!response.writableFinished) controller.abort();
-    });
+    this.pending.set(response, { startedAt: clock.now(), controller });
+    response.on('close', () => this.end(response));
     const answer = await this.answer(request, controller.signal);
     this.respond(response, answer);
   }
 
+  /** Ends the requests of a connection that has closed: a queued response does not report it. */
+  private endAll(socket: Socket): void {
+    [...this.pending.keys()]
+      .filter(({ req }) => req.socket === socket)
+      .forEach((response) => this.end(response));
+  }
+
+  private end(response: ServerResponse): void {
+    const ended = this.pending.get(response);
+    if (ended === undefined) return;
+    this.pending.delete(response);
+    this.options.counters.time('request', this.options.clock.now() - ended.startedAt);
+    // Aborts only if the caller disconnected before the response was complete: aborting is costly.
+    if (!response.writableFinished) ended.controller.abort();
+  }
+
   private async answer(request: IncomingMessage, signal: AbortSignal): Promise<CallerAnswer> {
     const { bodyBytes, clock, handle } = this.options;
     const head = await readBodyHead(request, bodyBytes, READ_TIMEOUT_MILLISECONDS, clock);
@@ -167,55 +186,32 @@
   }
 
   private respond(response: ServerResponse, answer: CallerAnswer): void {
-    if (response.destroyed) {
+    const { counters, issueTicket, gate } = this.options;
+    const isGivenUp = response.headersSent;
+    if (response.destroyed || isGivenUp || !this.pending.has(response)) {
       if (answer.kind === 'answered') answer.body.destroy();
-      this.options.counters.add('outcomes', 'caller-gone');
+      counters.add('outcomes', isGivenUp ? 'given-up' : 'caller-gone');
       return;
     }
-    if (this.isStopping || !response.req.complete) response.setHeader('connection', 'close');
-    response.setHeader(CALLER_HEADERS.ticket, this.options.issueTicket());
-    if (answer.kind === 'refused') this.sendRefusal(response, answer.reason, answer.detail);
-    else this.sendAnswer(response, answer);
-  }
-
-  private sendAnswer(
-    response: ServerResponse,
-    answer: Extract<CallerAnswer, { kind: 'answered' }>,
-  ) {
-    const { counters } = this.options;
-    const { body } = answer;
-    response.setHeader(CALLER_HEADERS.outcome, 'answered');
-    response.writeHead(answer.status, joinHeaders(forwardedHeaders(answer.headers)));
-    body.on('error', () => {
-      counters.add('outcomes', 'answer-broke-off');
-      cut(response);
-    });
-    response.on('close', () => {
-      if (!response.writableFinished) body.destroy();
-    });
-    response.on('finish', () => counters.add('outcomes', 'answered'));
-    body.pipe(response);
-  }
-
-  private sendRefusal(response: ServerResponse, reason: OutcomeReason, detail: string): void {
-    const rule = OUTCOME_RULES[reason];
-    this.options.counters.add('outcomes', reason);
-    const body = `${JSON.stringify({
-      outcome: rule.kind,
-      reason,
-      retry: rule.advice,
-      meaning: rule.meaning,
-      ...(detail === '' ? {} : { detail }),
-    })}\n`;
-    if (rule.retryAfterSeconds > 0) response.setHeader('retry-after', rule.retryAfterSeconds);
-    response.setHeader(CALLER_HEADERS.outcome, rule.kind);
-    response.setHeader(CALLER_HEADERS.reason, reason);
-    response.setHeader(CALLER_HEADERS.advice, rule.advice);
-    response.writeHead(rule.status, {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-    });
-    response.end(body);
+    if (this.closesWith(response)) response.setHeader('connection', 'close');
+    // A ticket of a host that leaves could not be used any more.
+    if (!gate.isStopping) response.setHeader(CALLER_HEADERS.ticket, issueTicket());
+    if (answer.kind === 'answered') writeAnswer(response, answer, counters);
+    else writeRefusal(response, this.reasonOf(answer), answer.detail, counters);
+  }
+
+  /** Without a ticket in the answer, a caller that needs one has to ask another host. */
+  private reasonOf({ reason }: Extract<CallerAnswer, { kind: 'refused' }>): OutcomeReason {
+    return reason === 'ticket-required' && this.options.gate.isStopping ? 'stopping' : reason;
+  }
+
+  /** Whether the connection ends with the answer; not while another one is owed on it. */
+  private closesWith(response: ServerResponse): boolean {
+    if (!response.req.complete) return true;
+    if (!this.options.gate.isStopping) return false;
+    const responses = [...this.pending.keys()];
+    const later = responses.slice(responses.indexOf(response) + 1);
+    return !later.some(({ req }) => req.socket === response.req.socket);
   }
 
   private rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
@@ -223,12 +219,3 @@
     refuseMalformed(error, socket, `${CALLER_HEADERS.reason}: malformed\r\n`);
   }
 }
-
-/**
- * Ends the connection in place of the rest of an answer. It is reset: to HTTP/1.0 an answer without a
- * length looks whole when its connection ends in the ordinary way.
- */
-function cut(response: ServerResponse): void {
-  response.socket?.resetAndDestroy();
-  response.destroy();
-}
--- a/packages/daemon/src/KeeperGateway.ts
+++ b/packages/daemon/src/KeeperGateway.ts
@@ -12,6 +12,7 @@
 import type { FrameAnswer, ReceivedRequest } from './serveFrames.js';
 import { serveFrames } from './serveFrames.js';
 import type ShardRegistry from './ShardRegistry.js';
+import StreamCount from './StreamCount.js';
 
 export interface KeeperGatewayOptions {
   readonly self: string;
@@ -26,13 +27,13 @@
 const STREAM_GRACE_MILLISECONDS = 500;
 
 export default class KeeperGateway {
-  private running = 0;
+  private readonly streams = new StreamCount();
 
   constructor(private readonly options: KeeperGatewayOptions) {}
 
   /** Number of attempts from other daemons that are running here. */
   public get inFlight(): number {
-    return this.running;
+    return this.streams.size;
   }
 
   /** Runs an attempt at its shard's keeper. */
@@ -48,10 +49,7 @@
 
   /** Serves an attempt from another daemon. */
   public serve(stream: AnswerStream): void {
-    this.running += 1;
-    stream.on('close', () => {
-      this.running -= 1;
-    });
+    this.streams.add(stream);
     serveFrames(stream, (request) => this.runReceived(request));
   }
 
--- a/packages/daemon/src/RequestHandler.ts
+++ b/packages/daemon/src/RequestHandler.ts
@@ -12,6 +12,7 @@
 import { refused } from './CallerRequest.js';
 import { forwardedHeaders, headerOf } from './headers.js';
 import type ShardRouter from './ShardRouter.js';
+import type StopGate from './StopGate.js';
 import type TicketedRequests from './TicketedRequests.js';
 
 const FINGERPRINT_CHARACTERS = 20;
@@ -22,6 +23,7 @@
   readonly store: ConfigurationStore;
   readonly router: ShardRouter;
   readonly tickets: TicketedRequests;
+  readonly gate: StopGate;
   readonly clock: Clock;
   readonly counters: Counters;
 }
@@ -91,6 +93,7 @@
     signal: AbortSignal,
     onAdmitted: () => void,
   ): Promise<AttemptResult> {
+    if (this.options.gate.isClosed) return Promise.resolve(refusal('stopping', ''));
     const { request, resolved, deadline, fingerprint } = context;
     const { contract, route } = resolved;
     let isConsumed = false;
--- a/packages/daemon/src/SettingsSchema.ts
+++ b/packages/daemon/src/SettingsSchema.ts
@@ -8,6 +8,8 @@
 const name = z
   .string()
   .regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'a name of lower case letters, digits, ".", "_", "-"');
+/** In less time, no request could be refused and told so. */
+export const MINIMUM_GRACE_MILLISECONDS = 500;
 const bytes = z.number().int().min(1);
 
 export const SettingsSchema = z.strictObject({
@@ -45,6 +47,17 @@
     .array(z.strictObject({ address, via: address }))
     .default([])
     .describe('Addresses of peers that this daemon reaches through another address.'),
+  shutdown: z
+    .strictObject({
+      graceMilliseconds: z
+        .number()
+        .int()
+        .min(MINIMUM_GRACE_MILLISECONDS)
+        .default(30_000)
+        .describe('Time from SIGTERM until the process is killed, in milliseconds.'),
+    })
+    .prefault({})
+    .describe('Graceful shutdown.'),
   limits: z
     .strictObject({
       bodyBytes: bytes
--- a/packages/daemon/src/TicketedRequests.ts
+++ b/packages/daemon/src/TicketedRequests.ts
@@ -20,6 +20,7 @@
 import { readTicket, TicketLedger } from '@cactusrun/requests';
 import type { CallerAnswer, CallerRequest } from './CallerRequest.js';
 import { refused } from './CallerRequest.js';
+import type StopGate from './StopGate.js';
 
 /** Longer answers are not stored for retries. */
 const MAXIMUM_STORED_ANSWER_BYTES = 256 * 1024;
@@ -35,6 +36,7 @@
   readonly issuer: TicketIssuer;
   readonly ledger: TicketLedger;
   readonly self: Host;
+  readonly gate: StopGate;
   readonly clock: Clock;
   readonly counters: Counters;
   /** Forwards a request to the daemon that issued its ticket. */
@@ -114,6 +116,8 @@
     deadline: number,
   ): Promise<CallerAnswer> | CallerAnswer {
     if (request.isForwarded) return refused('owner-gone', ticketFields.host);
+    // An earlier request with the ticket may have run, which only its owner knows.
+    if (this.options.gate.isClosed) return refused('stopped');
     this.options.counters.add('tickets', 'forwarded');
     return this.options.forward(ticketFields, request, deadline);
   }
--- a/packages/daemon/src/__tests__/unit/EntryServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/EntryServer.test.ts
@@ -6,6 +6,7 @@
 import type { CallerAnswer, CallerRequest } from '../../CallerRequest.js';
 import type CallerDirectory from '../../CallerDirectory.js';
 import EntryServer from '../../EntryServer.js';
+import StopGate from '../../StopGate.js';
 
 const ADDRESS = '127.0.77.1:18080';
 const HEADER_BYTES = 8 * 1024;
@@ -55,6 +56,7 @@
       clock: systemClock,
       counters,
       directory: {} as CallerDirectory,
+      gate: new StopGate(systemClock),
       handle: (request) => {
         seen.push(request);
         return answer(request);
--- a/packages/daemon/src/__tests__/unit/FakeFleet.ts
+++ b/packages/daemon/src/__tests__/unit/FakeFleet.ts
@@ -16,6 +16,7 @@
 import RequestHandler from '../../RequestHandler.js';
 import ShardRegistry from '../../ShardRegistry.js';
 import ShardRouter from '../../ShardRouter.js';
+import StopGate from '../../StopGate.js';
 import TicketedRequests from '../../TicketedRequests.js';
 import FakeTargets, { IDENTITY } from './FakeTargets.js';
 
@@ -35,6 +36,7 @@
   readonly handler: RequestHandler;
   readonly tickets: TicketedRequests;
   readonly ledger: TicketLedger;
+  readonly gate: StopGate;
   readonly index: KeeperIndex;
   isAlive: boolean;
   isIsolated: boolean;
@@ -279,6 +281,7 @@
       store,
       index: memberIndex,
       ledger: new TicketLedger(clock, counters),
+      gate: new StopGate(clock),
       isAlive: true,
       isIsolated: false,
       resumed: Promise.resolve(),
@@ -315,12 +318,20 @@
       issuer: new TicketIssuer(host.name, host.incarnation),
       ledger: node.ledger,
       self: host,
+      gate: node.gate,
       clock,
       counters,
       forward: (ticketFields, request) =>
         this.forward(node, ticketFields.incarnation, ticketFields.host, request),
     });
-    const handler = new RequestHandler({ store, router, tickets, clock, counters });
+    const handler = new RequestHandler({
+      store,
+      router,
+      tickets,
+      gate: node.gate,
+      clock,
+      counters,
+    });
     this.nodes[index] = Object.assign(node, { registry, handler, tickets });
   }
 
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/plannedStop.test.ts
@@ -0,0 +1,272 @@
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
+import { PassThrough, Readable } from 'node:stream';
+import { Counters, ManualClock, silentLogger, systemClock } from '@cactusrun/core';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { CallerAnswer, CallerRequest } from '../../CallerRequest.js';
+import type CallerDirectory from '../../CallerDirectory.js';
+import EntryServer from '../../EntryServer.js';
+import shutDownGracefully from '../../shutDownGracefully.js';
+import StopGate from '../../StopGate.js';
+import type { CallerResult } from './FakeFleet.js';
+import FakeFleet from './FakeFleet.js';
+
+const HOST = '127.0.77.2';
+const PORT = 18_081;
+const STOP_TIMES = { servingMilliseconds: 2_400, totalMilliseconds: 5_200 };
+/** More than half of a grace time of 6 s. */
+const LATE_MILLISECONDS = 3_100;
+const LAST_ANSWERS_MILLISECONDS = 100;
+
+/** A connection of a caller, and what it has received. */
+interface Connection {
+  readonly socket: Socket;
+  readonly received: () => string;
+  readonly ending: () => 'open' | 'ended' | 'reset';
+}
+
+interface Executed {
+  readonly path: string;
+  readonly answer: (body: Readable) => void;
+}
+
+describe('A planned stop of a daemon', () => {
+  let clock: ManualClock;
+  let server: EntryServer;
+  let gate: StopGate;
+  let executed: Executed[];
+  let connections: Connection[];
+  let requestsOfPeers: number;
+  let stopped: Promise<void> | undefined;
+
+  beforeEach(async () => {
+    clock = new ManualClock();
+    gate = new StopGate(clock);
+    executed = [];
+    connections = [];
+    requestsOfPeers = 0;
+    stopped = undefined;
+    server = new EntryServer({
+      address: `${HOST}:${PORT}`,
+      zone: 'west-a',
+      headerBytes: 8_192,
+      bodyBytes: 100_000,
+      clock,
+      counters: new Counters(),
+      directory: {} as CallerDirectory,
+      gate,
+      handle: (received) => execute(received),
+      issueTicket: () => 'fresh',
+      mayHaveRun: () => false,
+    });
+    await server.start();
+  });
+
+  afterEach(async () => {
+    connections.forEach(({ socket }) => socket.destroy());
+    await clock.advance(STOP_TIMES.totalMilliseconds + LAST_ANSWERS_MILLISECONDS);
+    await stopped;
+    await server.closeConnections();
+  });
+
+  function execute({ path }: CallerRequest): Promise<CallerAnswer> {
+    if (gate.isClosed) return Promise.resolve({ kind: 'refused', reason: 'stopping', detail: '' });
+    return new Promise((resolve) => {
+      const answer = (body: Readable) =>
+        resolve({ kind: 'answered', status: 200, headers: [], body });
+      executed.push({ path, answer });
+    });
+  }
+
+  const until = (condition: () => boolean) =>
+    vi.waitFor(() => expect(condition()).toBe(true), { timeout: 10_000 });
+  const has = (path: string) => executed.some((one) => one.path === path);
+  const answer = (path: string, body = Readable.from([`answer of ${path}.`])) =>
+    executed.find((one) => one.path === path)?.answer(body);
+  const hasEnded = ({ ending }: Connection) => ending() !== 'open';
+
+  function request(path: string, version = '1.1'): string {
+    return `GET ${path} HTTP/${version}\r\nHost: h\r\n\r\n`;
+  }
+
+  async function open(): Promise<Connection> {
+    const socket = connect({ port: PORT, host: HOST });
+    let text = '';
+    let ending: 'open' | 'ended' | 'reset' = 'open';
+    socket.on('data', (bytes: Buffer) => {
+      text += bytes.toString('latin1');
+    });
+    socket.on('end', () => {
+      ending = 'ended';
+    });
+    socket.on('error', () => {
+      ending = 'reset';
+    });
+    await new Promise<void>((resolve) => {
+      socket.once('connect', resolve);
+    });
+    const connection = { socket, received: () => text, ending: () => ending };
+    connections.push(connection);
+    return connection;
+  }
+
+  /** Sends a request that its target works on until it is answered. */
+  async function openAtWork(path: string, version = '1.1'): Promise<Connection> {
+    const connection = await open();
+    connection.socket.write(request(path, version));
+    await until(() => has(path));
+    return connection;
+  }
+
+  /** Opens a connection and leaves it idle after one answer. */
+  async function openKept(): Promise<Connection> {
+    const connection = await openAtWork('/before');
+    answer('/before');
+    await until(() => server.requestsInFlight === 0);
+    return connection;
+  }
+
+  function stop(): void {
+    stopped = shutDownGracefully({
+      gate,
+      entry: server,
+      requestsOfPeers: () => requestsOfPeers,
+      stopTimes: STOP_TIMES,
+      clock,
+      logger: silentLogger,
+    });
+  }
+
+  describe('during the serving time', () => {
+    it('serves requests of kept connections, closes these, and gives out no ticket', async () => {
+      const kept = await openKept();
+      stop();
+      kept.socket.write(request('/early'));
+      await until(() => has('/early'));
+      answer('/early');
+      await until(() => hasEnded(kept));
+      const text = kept.received().slice(kept.received().indexOf('answer of /before.'));
+      expect(text).toContain('answer of /early.');
+      expect(text).toMatch(/connection: close/i);
+      expect(text).not.toMatch(/cactusrun-ticket/i);
+    });
+
+    it('closes a connection only with the last answer that is owed on it', async () => {
+      const connection = await openAtWork('/first');
+      connection.socket.write(request('/second'));
+      await until(() => has('/second'));
+      stop();
+      answer('/first');
+      await until(() => connection.received().includes('answer of /first.'));
+      answer('/second');
+      await until(() => hasEnded(connection));
+      expect(connection.received()).toContain('answer of /second.');
+    });
+  });
+
+  describe('after the serving time', () => {
+    it('passes no request of a kept connection on, which it would cut at its target', async () => {
+      const kept = await openKept();
+      const busy = await openAtWork('/long');
+      stop();
+      await clock.advance(LATE_MILLISECONDS);
+      kept.socket.write(request('/late'));
+      await until(() => hasEnded(kept));
+      expect(has('/late')).toBe(false);
+      expect(kept.received()).toMatch(/HTTP\/1.1 503 [^]*cactusrun-outcome: not-run/i);
+      expect(kept.ending()).toBe('ended');
+      answer('/long');
+      await until(() => busy.received().includes('answer of /long.'));
+    });
+
+    it('ends as soon as nothing is in flight, also of peers', async () => {
+      requestsOfPeers = 1;
+      stop();
+      await clock.advance(LATE_MILLISECONDS);
+      const afterwards = vi.fn();
+      stopped?.then(afterwards);
+      await clock.advance(100);
+      expect(afterwards).not.toHaveBeenCalled();
+      requestsOfPeers = 0;
+      await clock.advance(100);
+      await stopped;
+    });
+  });
+
+  describe('at the end of its time', () => {
+    it('tells the caller of a request that its target works on that it may have run', async () => {
+      const busy = await openAtWork('/long');
+      stop();
+      await clock.advance(STOP_TIMES.totalMilliseconds);
+      await until(() => busy.received() !== '');
+      await clock.advance(LAST_ANSWERS_MILLISECONDS);
+      await stopped;
+      await until(() => hasEnded(busy));
+      expect(busy.received()).toMatch(/^HTTP\/1.1 502 [^]*cactusrun-outcome: unknown/i);
+      answer('/long');
+      await systemClock.sleep(20);
+    });
+
+    it('does not wait for requests of connections that their callers have closed', async () => {
+      const busy = await openAtWork('/first');
+      busy.socket.write(request('/behind'));
+      await until(() => has('/behind'));
+      busy.socket.destroy();
+      await until(() => server.requestsInFlight === 0);
+    });
+
+    it.each(['1.0', '1.1'])('resets an HTTP/%s answer that is not whole', async (version) => {
+      const busy = await openAtWork('/long', version);
+      const body = new PassThrough();
+      body.write('half');
+      answer('/long', body);
+      await until(() => busy.received().includes('half'));
+      stop();
+      await clock.advance(STOP_TIMES.totalMilliseconds);
+      await clock.advance(LAST_ANSWERS_MILLISECONDS);
+      await stopped;
+      await until(() => hasEnded(busy));
+      expect(busy.ending()).toBe('reset');
+    });
+  });
+});
+
+describe('A daemon that passes nothing on any more, as it stops', () => {
+  const STOPPING = 0;
+  const OTHER = 1;
+  let fleet: FakeFleet;
+
+  beforeEach(async () => {
+    fleet = await FakeFleet.create(3, 7);
+  });
+
+  function send(ticket: string): Promise<CallerResult> {
+    return fleet.settle(fleet.send({ node: STOPPING, kind: 'order', identity: 'a', ticket }));
+  }
+
+  it('refuses a lookup', async () => {
+    fleet.nodes[STOPPING]!.gate.beginStop(0);
+    const sending = fleet.send({ node: STOPPING, kind: 'lookup', identity: 'a' });
+    expect(await fleet.settle(sending)).toMatchObject({ reason: 'stopping' });
+  });
+
+  it('refuses an order with a ticket of its own as not run', async () => {
+    const ticket = fleet.issueTicket(STOPPING);
+    fleet.nodes[STOPPING]!.gate.beginStop(0);
+    expect(await send(ticket)).toMatchObject({ reason: 'stopping' });
+  });
+
+  it('still gives the answer of an order that has run', async () => {
+    const ticket = fleet.issueTicket(STOPPING);
+    const first = await send(ticket);
+    fleet.nodes[STOPPING]!.gate.beginStop(0);
+    expect(first.outcome).toBe('answered');
+    expect(await send(ticket)).toEqual(first);
+  });
+
+  it('does not forward an order to the owner of its ticket, who may have run it', async () => {
+    const ticket = fleet.issueTicket(OTHER);
+    fleet.nodes[STOPPING]!.gate.beginStop(0);
+    expect(await send(ticket)).toMatchObject({ reason: 'stopped' });
+  });
+});
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,5 @@
 export { loadSettings, parseSettings, SettingsError } from './loadSettings.js';
-export { SettingsSchema } from './SettingsSchema.js';
+export { MINIMUM_GRACE_MILLISECONDS, SettingsSchema } from './SettingsSchema.js';
 export { startDaemon } from './wireDaemon.js';
 export { CALLER_HEADERS } from './CallerRequest.js';
 export { DIRECTORY_PATH, DIRECTORY_TTL_SECONDS } from './CallerDirectory.js';
--- a/packages/daemon/src/wireDaemon.ts
+++ b/packages/daemon/src/wireDaemon.ts
@@ -3,7 +3,14 @@
 import type { ConfigurationStore } from '@cactusrun/configuration';
 import { targetKey } from '@cactusrun/configuration';
 import type { Clock, Host, Logger, Random, Stop } from '@cactusrun/core';
-import { Counters, createRandom, mergeStops, repeatUntilAborted, startTask } from '@cactusrun/core';
+import {
+  Counters,
+  createRandom,
+  divideGraceTime,
+  mergeStops,
+  repeatUntilAborted,
+  startTask,
+} from '@cactusrun/core';
 import type { Membership } from '@cactusrun/membership';
 import { createScorer } from '@cactusrun/placement';
 import {
@@ -12,13 +19,14 @@
   InspectReplySchema,
   startPeerServer,
 } from '@cactusrun/protocol';
-import { DIRECTORY_TTL_SECONDS } from './CallerDirectory.js';
 import ChangeService from './ChangeService.js';
 import OperatorQueries from './OperatorQueries.js';
 import type { Readiness } from './OperatorServer.js';
 import OperatorServer from './OperatorServer.js';
 import { serveForwarded } from './RequestForwarder.js';
 import type { Settings } from './SettingsSchema.js';
+import shutDownGracefully from './shutDownGracefully.js';
+import StreamCount from './StreamCount.js';
 import type { DaemonContext } from './wireControl.js';
 import { wireControl } from './wireControl.js';
 import wireRequests from './wireRequests.js';
@@ -27,9 +35,6 @@
 const REFRESH_MILLISECONDS = 500;
 const EJECTION_REVIEW_MILLISECONDS = 200;
 const LEASE_RENEWAL_MILLISECONDS = 5_000;
-const MILLISECONDS_PER_SECOND = 1_000;
-const MAXIMUM_DRAIN_MILLISECONDS = 30_000;
-const DRAIN_POLL_MILLISECONDS = 50;
 /** Requests in flight at which a daemon reports a load of 100 %. */
 const FULL_LOAD_REQUESTS = 200;
 const PERCENT = 100;
@@ -106,7 +111,7 @@
   const context: DaemonContext = { settings, host, clock, random, counters, logger };
   const control = await wireControl(context);
   const targets = wireTargets(context, control, await createScorer());
-  const { gateway, handler, entry } = wireRequests(context, control, targets);
+  const { gateway, handler, entry, gate } = wireRequests(context, control, targets);
   const { platform, store, membership, clients, transport } = control;
   const { registry, index, leases, crashes, prober, connector } = targets;
   let isStopping = false;
@@ -143,9 +148,13 @@
     resolveReplaced = resolve;
   });
 
+  const forwarded = new StreamCount();
   const stopPeers = await startPeerServer(host.peerAddress, {
     dispatch: (stream) => gateway.serve(stream),
-    forward: (stream) => serveForwarded(stream, (request) => handler.handle(request)),
+    forward: (stream) => {
+      forwarded.add(stream);
+      serveForwarded(stream, (request) => handler.handle(request));
+    },
     synchronise: async (request) => control.sync.serve(request),
     reportCrash: async ({ service, fingerprint, crashes: count }) => {
       crashes.applyReport(targetKey(service, fingerprint), count);
@@ -193,27 +202,20 @@
   ]);
   logger.info('started', { ...settings.addresses, zone: host.zone, region: host.region });
 
-  /** Waits until no request is in flight, at most MAXIMUM_DRAIN_MILLISECONDS. */
-  async function drain(): Promise<void> {
-    const end = clock.now() + MAXIMUM_DRAIN_MILLISECONDS;
-    const isBusy = () => entry.requestsInFlight > 0 || gateway.inFlight > 0;
-    while (isBusy() && clock.now() < end) {
-      // eslint-disable-next-line no-await-in-loop
-      await clock.sleep(DRAIN_POLL_MILLISECONDS);
-    }
-  }
-
   async function stopGracefully(): Promise<void> {
     isStopping = true;
     logger.info('leaving');
     membership.announceLeaving();
     refresh();
     registry.stopAccepting();
-    // Callers may still connect because of a cached directory answer.
-    await clock.sleep(DIRECTORY_TTL_SECONDS * MILLISECONDS_PER_SECOND);
-    await drain();
-    await stopEntry();
-    await drain();
+    await shutDownGracefully({
+      gate,
+      entry,
+      requestsOfPeers: () => gateway.inFlight + forwarded.size,
+      stopTimes: divideGraceTime(settings.shutdown.graceMilliseconds),
+      clock,
+      logger,
+    });
     await stopPeers();
     await stopBackground();
     logger.info('stopped');
--- a/packages/daemon/src/wireRequests.ts
+++ b/packages/daemon/src/wireRequests.ts
@@ -6,6 +6,7 @@
 import RequestForwarder from './RequestForwarder.js';
 import RequestHandler from './RequestHandler.js';
 import ShardRouter from './ShardRouter.js';
+import StopGate from './StopGate.js';
 import TicketedRequests from './TicketedRequests.js';
 import type { Control, DaemonContext } from './wireControl.js';
 import type { Targets } from './wireTargets.js';
@@ -14,6 +15,7 @@
   const { settings, host, clock, counters } = context;
   const { store, membership, clients, findHost } = control;
   const { registry } = targets;
+  const gate = new StopGate(clock);
   const gateway = new KeeperGateway({ self: host.name, registry, clients, clock, counters });
   const router = new ShardRouter({
     ...context,
@@ -30,18 +32,20 @@
       answerBytes: settings.limits.keptAnswerBytes,
     }),
     self: host,
+    gate,
     clock,
     counters,
     forward: (ticketFields, request, deadline) =>
       forwarder.forward(ticketFields, request, deadline),
   });
-  const handler = new RequestHandler({ store, router, tickets, clock, counters });
+  const handler = new RequestHandler({ store, router, tickets, gate, clock, counters });
   const issueTicket = () => tickets.issue();
   const directory = new CallerDirectory({
     ...context,
     self: host,
     store,
     membership,
+    gate,
     issueTicket,
   });
   const entry = new EntryServer({
@@ -52,9 +56,10 @@
     clock,
     counters,
     directory,
+    gate,
     handle: (request) => handler.handle(request),
     issueTicket,
     mayHaveRun: (ticket) => tickets.mayHaveRun(ticket),
   });
-  return { gateway, handler, entry };
+  return { gateway, handler, entry, gate };
 }
--- a/packages/protocol/src/PeerServer.ts
+++ b/packages/protocol/src/PeerServer.ts
@@ -22,7 +22,7 @@
 import PEER_SERVICE from './serviceDefinition.js';
 
 /** Wait for calls in flight before the server closes them. */
-const SHUTDOWN_TIMEOUT_MILLISECONDS = 1_000;
+const SHUTDOWN_TIMEOUT_MILLISECONDS = 100;
 
 /** Bidirectional stream of one request between daemons, on the server side. */
 export type AnswerStream = ServerDuplexStream<RequestFrame, AnswerFrame>;
