Keep a daemon of the product's own path alive when it is asked twice to leave

What callers could see (LOST): a second SIGTERM, or SIGINT, while a daemon leaves ends its process at once, with all requests in flight.

Cause: each signal was listened to once, and its default action came back. Both now listen from before the start on, as a signal that comes between the first accepted request and the end of the start had the default action too (read in the code, no test).

--- a/packages/bench/src/__tests__/unit/plannedStop.test.ts
+++ b/packages/bench/src/__tests__/unit/plannedStop.test.ts
@@ -11,6 +11,7 @@
 import { DEPLOYMENTS } from '../../Deployment.js';
 import Fleet from '../../Fleet.js';
 import publishContracts from '../../publishContracts.js';
+import ProcessFleet from '../faults/ProcessFleet.js';
 
 const GRACE_MILLISECONDS = 2_000;
 /** Longer than the grace time, and shorter than the deadline of orders. */
@@ -86,3 +87,28 @@
     expect(runs()).toBe(1);
   });
 });
+
+describe('A daemon process that is asked to leave again while it leaves', () => {
+  const deployment = DEPLOYMENTS.kreupelhout;
+  const SIGNAL_PAUSE_MILLISECONDS = 150;
+  let fleet: ProcessFleet;
+
+  beforeEach(async () => {
+    fleet = new ProcessFleet(deployment, 2, 3, 700);
+    await fleet.start();
+  }, 30_000);
+
+  afterEach(() => fleet.stop());
+
+  it.each(['SIGTERM', 'SIGINT'] as const)('by %s still answers its requests', async (signal) => {
+    const address = fleet.daemons[0]!.callers;
+    const caller = new Caller([address], 'west-a', systemClock);
+    const answer = caller.send({ ...deployment.lookup, method: 'GET', address });
+    await systemClock.sleep(SIGNAL_PAUSE_MILLISECONDS);
+    fleet.signal(0, signal);
+    await systemClock.sleep(SIGNAL_PAUSE_MILLISECONDS);
+    fleet.signal(0, signal);
+    expect(await answer).toMatchObject({ outcome: 'answered' });
+    await caller.close();
+  });
+});
--- a/packages/daemon/src/cactusrund.ts
+++ b/packages/daemon/src/cactusrund.ts
@@ -55,10 +55,8 @@
     }
     const logger = createLogger(settings.host.name);
     const seed = Math.floor(Math.random() * SEED_RANGE);
+    const signalled = awaitSignal();
     const daemon = await startDaemon({ settings, clock: systemClock, logger, seed });
-    const signalled = new Promise<string>((resolve) => {
-      ['SIGTERM', 'SIGINT'].forEach((signal) => process.once(signal, () => resolve(signal)));
-    });
     const cause = await Promise.race([signalled, daemon.replaced.then(() => 'replaced')]);
     logger.info('asked-to-leave', { cause });
     await daemon.stop();
@@ -66,6 +64,13 @@
   }
 }
 
+/** A signal during the start, or a repeated one, must not end a process that serves requests. */
+function awaitSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    ['SIGTERM', 'SIGINT'].forEach((signal) => process.on(signal, () => resolve(signal)));
+  });
+}
+
 const cli = new Cli({
   enableColors: process.stdout.isTTY === true,
   binaryName: 'cactusrund',
