Count an end after an informational answer as a failure of its target

What callers could see: a request that crashes its targets after they sent 102 or 103 was not held back (BUDGET), and kept connections were given up for 10 s, since the end counted as one of an idle connection that the target had dropped before it saw the request.

Cause: an informational head proves that the target has read the request, and was not asked for.

Evidence: the new test of TargetConnections.test.ts failed before ("dropped" for "broken"). Besides, answers without a length behind an informational head are now cut after each byte in cutAnswers.test.ts, with ordinary ends and resets, at targets and at relaying peers: all broken, before the change as well.

--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -279,6 +279,18 @@
       expect((await send()).kind).toBe('broken');
     });
 
+    it('had not dropped it if an informational answer came', async () => {
+      let hasAnswered = false;
+      script = (socket, attempt) => {
+        if (hasAnswered) socket.write('HTTP/1.1 102 Processing\r\n\r\n', () => socket.destroy());
+        else socket.write(`${head(attempt, 2)}ok`);
+        hasAnswered = true;
+      };
+      await send();
+      clock.pause(RECENT_USE_MILLISECONDS + 50);
+      expect((await send()).kind).toBe('broken');
+    });
+
     it('is reused only soon after its last use once a drop is known', async () => {
       script = answerOnce();
       idleReuse.recordDrop('target-1');
--- a/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
+++ b/packages/gateway/src/__tests__/unit/cutAnswers.test.ts
@@ -72,6 +72,11 @@
       `HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n${headOf(id, 'content-length: 4\r\n')}`,
     body: 'body',
   },
+  'after informational heads, without a length': {
+    head: (id) => `HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n${headOf(id, '')}`,
+    body: 'body',
+    endsWithConnection: true,
+  },
   'with a refusal': {
     head: (id) =>
       headOf(
--- a/packages/gateway/src/connections/TargetExchange.ts
+++ b/packages/gateway/src/connections/TargetExchange.ts
@@ -217,6 +217,7 @@
     const { clock } = this.parts;
     const isDrop =
       !this.hasResponse &&
+      this.informationalAnswers === 0 &&
       this.connection.idleMilliseconds > RECENT_USE_MILLISECONDS &&
       clock.now() - this.startedAt < DROP_DETECTION_MILLISECONDS;
     this.abandon({ kind: isDrop ? 'dropped' : 'broken', detail }, detail, true);
