--- a/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerConnection.test.ts
@@ -7,6 +7,7 @@
 import CallerServer from '../../callers/CallerServer.js';
 import type { TargetAnswer } from '../../connections/TargetAttempt.js';
 import createTargetAnswer from './createTargetAnswer.js';
+import settleConnections from './settleConnections.js';
 
 const HOST = '127.0.8.1';
 const PORT = 18_551;
@@ -112,7 +113,6 @@
     return `POST /a HTTP/1.1\r\nhost: h\r\nX-Attempt: ${id}\r\n${length}\r\n${body}`;
   }
 
-  const settle = () => systemClock.sleep(40);
   const startedIds = () => held.map(({ exchange }) => exchange.id);
   const requestOf = (id: string) => held.find(({ exchange }) => exchange.id === id)!;
   const answeredIds = () => [...received.matchAll(/body of (\w+)\./g)].map(([, id]) => id);
@@ -135,7 +135,7 @@
       await systemClock.sleep(200);
       expect(startedIds()).toEqual(['a']);
       requestOf('a').answer();
-      await settle();
+      await settleConnections();
       held.find(({ exchange }) => exchange.id === 'b')?.answer();
       await systemClock.sleep(1_500);
       expect({ answered: answeredIds(), isEnded, inFlight: server.requestsInFlight }).toEqual({
@@ -149,23 +149,23 @@
   describe('idempotent requests', () => {
     it('overlap up to the limit, and are answered in their order', async () => {
       socket.write(['a', 'b', 'c', 'd', 'e', 'f'].map((id) => get(id)).join(''));
-      await settle();
+      await settleConnections();
       expect(startedIds()).toEqual(['a', 'b', 'c', 'd']);
       requestOf('b').answer();
       requestOf('c').answer();
-      await settle();
+      await settleConnections();
       expect(answeredIds()).toEqual([]);
       requestOf('a').answer();
-      await settle();
+      await settleConnections();
       expect(answeredIds()).toEqual(['a', 'b', 'c']);
       expect(startedIds()).toEqual(['a', 'b', 'c', 'd', 'e', 'f']);
     });
 
     it('are all cancelled at once when the caller disconnects', async () => {
       socket.write(['a', 'b', 'c', 'd', 'e'].map((id) => get(id)).join(''));
-      await settle();
+      await settleConnections();
       socket.destroy();
-      await settle();
+      await settleConnections();
       expect(held.every(({ exchange }) => exchange.signal.aborted)).toBe(true);
       expect(startedIds()).not.toContain('e');
       expect(server.requestsInFlight).toBe(0);
@@ -174,7 +174,7 @@
     it('stop being read at a limit, and are all answered in the end', async () => {
       const ids = Array.from({ length: 1_000 }, (_, index) => `r${index}`);
       socket.write(ids.map((id) => get(id, `X-Filler: ${'x'.repeat(500)}\r\n`)).join(''));
-      await settle();
+      await settleConnections();
       // One read of the socket may bring more requests than the limit, but not all of them.
       expect(server.requestsInFlight).toBeLessThan(500);
       const answerAll = async (): Promise<void> => {
@@ -192,21 +192,21 @@
   describe('a request that must run once', () => {
     it('starts only after the answers before it have been written', async () => {
       socket.write(get('a') + post('b') + get('c'));
-      await settle();
+      await settleConnections();
       expect(startedIds()).toEqual(['a']);
       requestOf('a').answer();
-      await settle();
+      await settleConnections();
       expect(startedIds()).toEqual(['a', 'b']);
       requestOf('b').answer();
-      await settle();
+      await settleConnections();
       expect(startedIds()).toEqual(['a', 'b', 'c']);
     });
 
     it('is never executed behind an answer that closes the connection', async () => {
       socket.write(getOld('a') + post('b'));
-      await settle();
+      await settleConnections();
       answerUnframed('a');
-      await settle();
+      await settleConnections();
       expect(startedIds()).toEqual(['a']);
       expect(isEnded).toBe(true);
       expect(server.requestsInFlight).toBe(0);
@@ -214,9 +214,9 @@
 
     it('is never executed behind a request that asks to close the connection', async () => {
       socket.write(get('a', 'connection: close\r\n') + post('b'));
-      await settle();
+      await settleConnections();
       requestOf('a').answer();
-      await settle();
+      await settleConnections();
       expect(startedIds()).toEqual(['a']);
       expect(answeredIds()).toEqual(['a']);
     });
@@ -225,12 +225,12 @@
   describe('an answer without a length', () => {
     it('leaves the requests behind it their answers, also one that must run once', async () => {
       socket.write(get('a') + get('b') + post('c'));
-      await settle();
+      await settleConnections();
       requestOf('b').answer();
       answerUnframed('a');
-      await settle();
+      await settleConnections();
       requestOf('c').answer();
-      await settle();
+      await settleConnections();
       expect(answeredIds()).toEqual(['a', 'b', 'c']);
       expect(received).not.toMatch(/connection: close/i);
       expect(isEnded).toBe(false);
@@ -240,9 +240,9 @@
   describe('an answer that closes the connection', () => {
     it('cancels the requests behind it, and none is counted as in flight', async () => {
       socket.write(getOld('a') + get('b') + get('c'));
-      await settle();
+      await settleConnections();
       answerUnframed('a');
-      await settle();
+      await settleConnections();
       expect(answeredIds()).toEqual(['a']);
       expect(requestOf('b').exchange.signal.aborted).toBe(true);
       expect(server.requestsInFlight).toBe(0);
@@ -250,16 +250,16 @@
 
     it('is the one to the last request that was read whole, while draining', async () => {
       socket.write(`${get('a') + get('b') + post('c')}${post('d').slice(0, -1)}`);
-      await settle();
+      await settleConnections();
       server.beginDraining(SERVING_MILLISECONDS);
       requestOf('b').answer();
       requestOf('a').answer();
-      await settle();
+      await settleConnections();
       expect(answeredIds()).toEqual(['a', 'b']);
       expect(startedIds()).toEqual(['a', 'b', 'c']);
       expect(isEnded).toBe(false);
       requestOf('c').answer();
-      await settle();
+      await settleConnections();
       expect(answeredIds()).toEqual(['a', 'b', 'c']);
       expect(received.match(/connection: close/g)).toHaveLength(1);
       expect(received.indexOf('connection: close')).toBeGreaterThan(received.indexOf('body of b'));
@@ -271,10 +271,10 @@
   describe('malformed bytes behind a request', () => {
     it('get no response that could be taken for the answer to that request', async () => {
       socket.write(`${get('a')}rubbish\r\n\r\n`);
-      await settle();
+      await settleConnections();
       expect(received).toBe('');
       requestOf('a').answer();
-      await settle();
+      await settleConnections();
       expect(received.startsWith('HTTP/1.1 200')).toBe(true);
       expect(answeredIds()).toEqual(['a']);
       expect(isEnded).toBe(true);
@@ -285,12 +285,12 @@
     it('resets the connection, so that it does not look whole without a length', async () => {
       const bodyRest = new PassThrough();
       socket.write(get('a'));
-      await settle();
+      await settleConnections();
       requestOf('a').answer({ isFramed: false, bodyRest });
       bodyRest.write('more');
-      await settle();
+      await settleConnections();
       bodyRest.destroy(new Error('reset by the target'));
-      await settle();
+      await settleConnections();
       expect(received).toContain('more');
       expect(wasReset).toBe(true);
       expect(isEnded).toBe(false);
@@ -299,12 +299,12 @@
     it('becomes a refusal while the answer before it is not written yet', async () => {
       const bodyRest = new PassThrough();
       socket.write(get('a') + get('b'));
-      await settle();
+      await settleConnections();
       requestOf('b').answer({ bodyRest });
-      await settle();
+      await settleConnections();
       bodyRest.destroy(new Error('reset by the target'));
       requestOf('a').answer();
-      await settle();
+      await settleConnections();
       expect(answeredIds()).toEqual(['a']);
       expect(received).toContain('HTTP/1.1 502');
     });
@@ -314,37 +314,37 @@
     it('waits until a caller that reads slowly has the whole answer', async () => {
       const bodyStart = Buffer.alloc(16_000_000, 'x');
       socket.write(post('a'));
-      await settle();
+      await settleConnections();
       socket.pause();
       requestOf('a').answer({ bodyStart });
-      await settle();
+      await settleConnections();
       const drained = server.finishDraining();
       socket.resume();
       await drained;
-      await settle();
+      await settleConnections();
       const bodyAt = received.indexOf('\r\n\r\n') + 4;
       expect(received.length - bodyAt).toBe(bodyStart.length);
     });
 
     it('ends when requests behind a closing answer were dropped', async () => {
       socket.write(getOld('a') + get('b') + post('c'));
-      await settle();
+      await settleConnections();
       answerUnframed('a');
-      await settle();
+      await settleConnections();
       await server.finishDraining();
       expect(server.requestsInFlight).toBe(0);
     });
 
     it('refuses requests that arrive on open connections until the last one has ended', async () => {
       socket.write(get('a'));
-      await settle();
+      await settleConnections();
       server.beginDraining(SERVING_MILLISECONDS);
       const drained = server.finishDraining();
       socket.write(get('b'));
-      await settle();
+      await settleConnections();
       requestOf('a').answer();
       await drained;
-      await settle();
+      await settleConnections();
       expect(startedIds()).toEqual(['a']);
       expect(answeredIds()).toEqual(['a']);
       expect(received.indexOf('HTTP/1.1 503')).toBeGreaterThan(received.indexOf('body of a'));
--- a/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetConnections.test.ts
@@ -8,6 +8,7 @@
 import TargetConnections from '../../connections/TargetConnections.js';
 import type { TargetEntry } from '../../state/TargetEntry.js';
 import createTargetEntry from './createTargetEntry.js';
+import settleConnections from './settleConnections.js';
 import NAMES from './targetFieldNames.js';
 
 type Script = (socket: Socket, attempt: string, count: number) => void;
@@ -201,7 +202,7 @@
         setTimeout(() => socket.write(`${head('attempt-old', 3)}old`), 10);
       };
       expect(bodyOf(await send())).toBe('ok');
-      await systemClock.sleep(40);
+      await settleConnections();
       expect(bodyOf(await send())).toBe('ok');
       expect(sockets).toHaveLength(2);
     });
--- a/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/TargetExchange.test.ts
@@ -287,11 +287,17 @@
     });
 
     it('without a length that is reset is not passed on as whole', async () => {
+      let peer: Socket | undefined;
       script = (socket, attempt) => {
+        peer = socket;
         socket.write(head(attempt, '') + CHUNK.repeat(20));
-        setTimeout(() => socket.resetAndDestroy(), 60);
       };
-      const { isWhole, error } = await deliver();
+      const result = await send(new AbortController().signal, LONG_MILLISECONDS);
+      const bodyRest = result.kind === 'answered' ? result.answer.bodyRest : undefined;
+      const reading = readRest(bodyRest!);
+      // Before its first part is passed on, a reset leaves nothing to pass on.
+      peer?.resetAndDestroy();
+      const { isWhole, error } = await reading;
       expect(isWhole).toBe(false);
       expect(error instanceof AnswerCutError && error.isTargetFailure).toBe(true);
     });
