--- a/packages/daemon/src/__tests__/unit/plannedStop.test.ts
+++ b/packages/daemon/src/__tests__/unit/plannedStop.test.ts
@@ -11,7 +11,7 @@
 import type { CallerResult } from './FakeFleet.js';
 import FakeFleet from './FakeFleet.js';
 
-const HOST = '127.0.77.2';
+const HOST = '127.0.77.12';
 const PORT = 18_081;
 const STOP_TIMES = { servingMilliseconds: 2_400, totalMilliseconds: 5_200 };
 /** More than half of a grace time of 6 s. */
