Pass a reset on through the stand-in of a link

The link ended the other side in the ordinary way whatever had ended the first one.

Evidence: the new test of StandInLink.test.ts failed before ("ended" for "reset").

--- a/packages/stand-ins/src/StandInLink.ts
+++ b/packages/stand-ins/src/StandInLink.ts
@@ -111,13 +111,24 @@
         if (!this.isSilent(from, direction)) to.write(next);
       });
     });
+    let isReset = false;
     const onEnd = () => {
       this.sockets.delete(from);
       this.silencedSockets.delete(from);
-      this.options.clock.after(this.transitMilliseconds(0, direction), () => to.destroy());
+      this.options.clock.after(this.transitMilliseconds(0, direction), () => {
+        if (isReset) to.resetAndDestroy();
+        else to.destroy();
+      });
     };
+    // Node reports an end for a reset that arrives with the last bytes; the remote address is gone then.
+    from.prependOnceListener('end', () => {
+      isReset = from.remoteAddress === undefined;
+    });
     from.on('close', onEnd);
-    from.on('error', onEnd);
+    from.on('error', () => {
+      isReset = true;
+      onEnd();
+    });
   }
 
   private countPackets(direction: LinkDirection): void {
--- a/packages/stand-ins/src/__tests__/unit/StandInLink.test.ts
+++ b/packages/stand-ins/src/__tests__/unit/StandInLink.test.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { Server } from 'node:net';
+import type { Server, Socket } from 'node:net';
 import { createConnection, createServer } from 'node:net';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import type { Clock, Stop } from '@cactusrun/core';
@@ -76,3 +76,56 @@
     expect(receivedDigest).toBe(createHash('sha256').update(body).digest('hex'));
   });
 });
+
+describe('The end of a connection through a StandInLink', () => {
+  const address = '127.0.77.14:18083';
+  const farAddress = '127.0.77.15:18083';
+  const ENDINGS: Readonly<Record<string, (socket: Socket) => void>> = {
+    ended: (socket) => socket.end('last bytes'),
+    reset: (socket) => {
+      socket.write('last bytes');
+      socket.resetAndDestroy();
+    },
+  };
+  let farServer: Server;
+  let stop: Stop;
+  let end: (socket: Socket) => void;
+
+  beforeAll(async () => {
+    const [host, port] = farAddress.split(':');
+    farServer = createServer((socket) => {
+      socket.on('error', () => {});
+      socket.once('data', () => end(socket));
+    });
+    await new Promise<void>((resolve) => {
+      farServer.listen(Number(port), host, resolve);
+    });
+    stop = await new StandInLink({
+      address,
+      farAddress,
+      delayMilliseconds: 5,
+      clock: systemClock,
+    }).start();
+  });
+
+  afterAll(async () => {
+    await stop();
+    farServer.close();
+  });
+
+  it.each(Object.keys(ENDINGS))('is seen as it was at the far end: %s', async (name) => {
+    end = ENDINGS[name]!;
+    const [host, port] = address.split(':');
+    const socket = createConnection({ host: host!, port: Number(port) });
+    const ending = await new Promise((resolve) => {
+      socket.prependOnceListener('end', () =>
+        resolve(socket.remoteAddress === undefined ? 'reset' : 'ended'),
+      );
+      socket.on('error', () => resolve('reset'));
+      socket.resume();
+      socket.write('first bytes');
+    });
+    socket.destroy();
+    expect(ending).toBe(name);
+  });
+});
