--- a/packages/daemon/src/wireDaemon.ts
+++ b/packages/daemon/src/wireDaemon.ts
@@ -1,40 +1,22 @@
 /** Creates the parts of one daemon, starts them, and stops them in reverse order. */
 import { randomBytes } from 'node:crypto';
 import type { ConfigurationStore } from '@cactusrun/configuration';
-import { targetKey } from '@cactusrun/configuration';
-import type { Clock, Host, Logger, Random, Stop } from '@cactusrun/core';
-import {
-  Counters,
-  createRandom,
-  divideGraceTime,
-  mergeStops,
-  repeatUntilAborted,
-  startTask,
-} from '@cactusrun/core';
+import type { Clock, Host, Logger, Stop } from '@cactusrun/core';
+import { Counters, createRandom, divideGraceTime } from '@cactusrun/core';
 import type { Membership } from '@cactusrun/membership';
 import { createScorer } from '@cactusrun/placement';
-import {
-  AcknowledgementSchema,
-  create,
-  InspectReplySchema,
-  startPeerServer,
-} from '@cactusrun/protocol';
-import ChangeService from './ChangeService.js';
-import OperatorQueries from './OperatorQueries.js';
-import type { Readiness } from './OperatorServer.js';
-import OperatorServer from './OperatorServer.js';
-import { serveForwarded } from './RequestForwarder.js';
+import { startPeerServer } from '@cactusrun/protocol';
+import createPeerHandlers from './createPeerHandlers.js';
 import type { Settings } from './SettingsSchema.js';
 import shutDownGracefully from './shutDownGracefully.js';
+import startBackground from './startBackground.js';
 import StreamCount from './StreamCount.js';
 import type { DaemonContext } from './wireControl.js';
 import { wireControl } from './wireControl.js';
+import wireOperators from './wireOperators.js';
 import wireRequests from './wireRequests.js';
 import { wireTargets } from './wireTargets.js';
 
-const REFRESH_MILLISECONDS = 500;
-const EJECTION_REVIEW_MILLISECONDS = 200;
-const LEASE_RENEWAL_MILLISECONDS = 5_000;
 /** Requests in flight at which a daemon reports a load of 100 %. */
 const FULL_LOAD_REQUESTS = 200;
 const PERCENT = 100;
@@ -72,32 +54,6 @@
   };
 }
 
-/** Repeats a step with pauses that vary by 10 % around the period. */
-function startPeriodic(
-  clock: Clock,
-  random: Random,
-  milliseconds: number,
-  step: () => Promise<void> | void,
-  onError: (error: unknown) => void,
-): Stop {
-  return startTask(
-    (signal) =>
-      repeatUntilAborted(signal, async () => {
-        await step();
-        await clock.sleep(milliseconds * (0.9 + 0.2 * random.unit()), signal);
-      }),
-    onError,
-  );
-}
-
-function describeReadiness(store: ConfigurationStore, isStopping: boolean): Readiness {
-  const reasons = [
-    ...(store.isReady ? [] : ['no configuration: neither the log nor a peer was reached']),
-    ...(isStopping ? ['leaving'] : []),
-  ];
-  return { isReady: reasons.length === 0, reasons };
-}
-
 /**
  * Starts a daemon.
  *
@@ -112,28 +68,9 @@
   const control = await wireControl(context);
   const targets = wireTargets(context, control, await createScorer());
   const { gateway, handler, entry, gate } = wireRequests(context, control, targets);
-  const { platform, store, membership, clients, transport } = control;
-  const { registry, index, leases, crashes, prober, connector } = targets;
-  let isStopping = false;
-
-  const queries = new OperatorQueries({
-    self: host,
-    store,
-    membership,
-    registry,
-    clients,
-    counters,
-    isLogReachable: () => control.follower.isLogReachable,
-    reportedLoad: (address) => prober.statusOf(address)?.load,
-  });
-  const changes = new ChangeService({ store, log: platform, clock, counters, logger });
-  const operators = new OperatorServer({
-    address: settings.addresses.operators,
-    counters,
-    queries,
-    changes,
-    readiness: () => describeReadiness(store, isStopping),
-  });
+  const { queries, operators } = wireOperators(context, control, targets, gate);
+  const { store, membership, sync } = control;
+  const { registry, index, crashes } = targets;
 
   /** Updates the kept shards to the current members; announces this daemon's offset and load. */
   const refresh = (): void => {
@@ -149,61 +86,26 @@
   });
 
   const forwarded = new StreamCount();
-  const stopPeers = await startPeerServer(host.peerAddress, {
-    dispatch: (stream) => gateway.serve(stream),
-    forward: (stream) => {
-      forwarded.add(stream);
-      serveForwarded(stream, (request) => handler.handle(request));
-    },
-    synchronise: async (request) => control.sync.serve(request),
-    reportCrash: async ({ service, fingerprint, crashes: count }) => {
-      crashes.applyReport(targetKey(service, fingerprint), count);
-      return create(AcknowledgementSchema, {});
-    },
-    handOver: async (handover) => {
-      refresh();
-      registry.applyHandover(handover);
-      return create(AcknowledgementSchema, {});
-    },
-    inspect: async (request) => {
-      const rows = await queries.answerLocally(JSON.parse(request.query));
-      return create(InspectReplySchema, { json: JSON.stringify(rows) });
-    },
-  });
-  const logTaskFailure = (error: unknown) => logger.warn('task-failed', { error: String(error) });
-  const repeatEvery = (milliseconds: number, step: () => Promise<void> | void) =>
-    startPeriodic(clock, random, milliseconds, step, logTaskFailure);
-  const stopMembershipListener = membership.listen((event) => {
-    if (event.kind === 'replaced') resolveReplaced();
-    refresh();
-  });
-  const stopStoreListener = store.listen(() => {
-    targets.syncHolds();
-    refresh();
+  const peerHandlers = createPeerHandlers({
+    gateway,
+    handler,
+    forwarded,
+    sync,
+    crashes,
+    registry,
+    queries,
+    refresh,
   });
+  const stopPeers = await startPeerServer(host.peerAddress, peerHandlers);
   const stopEntry = await entry.start();
-  const stopBackground = mergeStops([
-    async () => clients.close(),
-    async () => connector.close(),
-    transport.stop,
-    async () => platform.close(),
-    async () => stopStoreListener(),
-    async () => stopMembershipListener(),
-    await operators.start(),
-    membership.start(),
-    control.hosts.start(),
-    control.follower.start(),
-    control.snapshots.start(),
-    control.sync.start(),
-    prober.start(),
-    repeatEvery(REFRESH_MILLISECONDS, refresh),
-    repeatEvery(EJECTION_REVIEW_MILLISECONDS, () => registry.reviewEjections()),
-    repeatEvery(LEASE_RENEWAL_MILLISECONDS, () => leases.renew()),
-  ]);
+  const stopBackground = await startBackground(context, control, targets, {
+    operators,
+    refresh,
+    onReplaced: () => resolveReplaced(),
+  });
   logger.info('started', { ...settings.addresses, zone: host.zone, region: host.region });
 
   async function stopGracefully(): Promise<void> {
-    isStopping = true;
     logger.info('leaving');
     membership.announceLeaving();
     refresh();
