--- a/packages/daemon/src/__tests__/unit/plannedStop.test.ts
+++ b/packages/daemon/src/__tests__/unit/plannedStop.test.ts
@@ -1,7 +1,6 @@
-import type { Socket } from 'node:net';
-import { connect } from 'node:net';
 import { PassThrough, Readable } from 'node:stream';
 import { Counters, ManualClock, silentLogger, systemClock } from '@cactusrun/core';
+import { RawCaller } from '@cactusrun/stand-ins';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { CallerAnswer, CallerRequest } from '../../CallerRequest.js';
 import type CallerDirectory from '../../CallerDirectory.js';
@@ -18,13 +17,6 @@
 const LATE_MILLISECONDS = 3_100;
 const LAST_ANSWERS_MILLISECONDS = 100;
 
-/** A connection of a caller, and what it has received. */
-interface Connection {
-  readonly socket: Socket;
-  readonly received: () => string;
-  readonly ending: () => 'open' | 'ended' | 'reset';
-}
-
 interface Executed {
   readonly path: string;
   readonly answer: (body: Readable) => void;
@@ -35,7 +27,7 @@
   let server: EntryServer;
   let gate: StopGate;
   let executed: Executed[];
-  let connections: Connection[];
+  let callers: RawCaller[];
   let requestsOfPeers: number;
   let stopped: Promise<void> | undefined;
 
@@ -43,7 +35,7 @@
     clock = new ManualClock();
     gate = new StopGate(clock);
     executed = [];
-    connections = [];
+    callers = [];
     requestsOfPeers = 0;
     stopped = undefined;
     server = new EntryServer({
@@ -63,7 +55,7 @@
   });
 
   afterEach(async () => {
-    connections.forEach(({ socket }) => socket.destroy());
+    callers.forEach((caller) => caller.close());
     await clock.advance(STOP_TIMES.totalMilliseconds + LAST_ANSWERS_MILLISECONDS);
     await stopped;
     await server.closeConnections();
@@ -83,43 +75,27 @@
   const has = (path: string) => executed.some((one) => one.path === path);
   const answer = (path: string, body = Readable.from([`answer of ${path}.`])) =>
     executed.find((one) => one.path === path)?.answer(body);
-  const hasEnded = ({ ending }: Connection) => ending() !== 'open';
 
   function request(path: string, version = '1.1'): string {
     return `GET ${path} HTTP/${version}\r\nHost: h\r\n\r\n`;
   }
 
-  async function open(): Promise<Connection> {
-    const socket = connect({ port: PORT, host: HOST });
-    let text = '';
-    let ending: 'open' | 'ended' | 'reset' = 'open';
-    socket.on('data', (bytes: Buffer) => {
-      text += bytes.toString('latin1');
-    });
-    socket.on('end', () => {
-      ending = 'ended';
-    });
-    socket.on('error', () => {
-      ending = 'reset';
-    });
-    await new Promise<void>((resolve) => {
-      socket.once('connect', resolve);
-    });
-    const connection = { socket, received: () => text, ending: () => ending };
-    connections.push(connection);
-    return connection;
+  async function open(): Promise<RawCaller> {
+    const caller = await RawCaller.open(`${HOST}:${PORT}`);
+    callers.push(caller);
+    return caller;
   }
 
   /** Sends a request that its target works on until it is answered. */
-  async function openAtWork(path: string, version = '1.1'): Promise<Connection> {
+  async function openAtWork(path: string, version = '1.1'): Promise<RawCaller> {
     const connection = await open();
-    connection.socket.write(request(path, version));
+    connection.write(request(path, version));
     await until(() => has(path));
     return connection;
   }
 
   /** Opens a connection and leaves it idle after one answer. */
-  async function openKept(): Promise<Connection> {
+  async function openKept(): Promise<RawCaller> {
     const connection = await openAtWork('/before');
     answer('/before');
     await until(() => server.requestsInFlight === 0);
@@ -141,11 +117,11 @@
     it('serves requests of kept connections, closes these, and gives out no ticket', async () => {
       const kept = await openKept();
       stop();
-      kept.socket.write(request('/early'));
+      kept.write(request('/early'));
       await until(() => has('/early'));
       answer('/early');
-      await until(() => hasEnded(kept));
-      const text = kept.received().slice(kept.received().indexOf('answer of /before.'));
+      await until(() => kept.hasEnded);
+      const text = kept.received.slice(kept.received.indexOf('answer of /before.'));
       expect(text).toContain('answer of /early.');
       expect(text).toMatch(/connection: close/i);
       expect(text).not.toMatch(/cactusrun-ticket/i);
@@ -153,14 +129,14 @@
 
     it('closes a connection only with the last answer that is owed on it', async () => {
       const connection = await openAtWork('/first');
-      connection.socket.write(request('/second'));
+      connection.write(request('/second'));
       await until(() => has('/second'));
       stop();
       answer('/first');
-      await until(() => connection.received().includes('answer of /first.'));
+      await until(() => connection.received.includes('answer of /first.'));
       answer('/second');
-      await until(() => hasEnded(connection));
-      expect(connection.received()).toContain('answer of /second.');
+      await until(() => connection.hasEnded);
+      expect(connection.received).toContain('answer of /second.');
     });
   });
 
@@ -170,13 +146,13 @@
       const busy = await openAtWork('/long');
       stop();
       await clock.advance(LATE_MILLISECONDS);
-      kept.socket.write(request('/late'));
-      await until(() => hasEnded(kept));
+      kept.write(request('/late'));
+      await until(() => kept.hasEnded);
       expect(has('/late')).toBe(false);
-      expect(kept.received()).toMatch(/HTTP\/1.1 503 [^]*cactusrun-outcome: not-run/i);
-      expect(kept.ending()).toBe('ended');
+      expect(kept.received).toMatch(/HTTP\/1.1 503 [^]*cactusrun-outcome: not-run/i);
+      expect(kept.ending).toBe('ended');
       answer('/long');
-      await until(() => busy.received().includes('answer of /long.'));
+      await until(() => busy.received.includes('answer of /long.'));
     });
 
     it('ends as soon as nothing is in flight, also of peers', async () => {
@@ -198,20 +174,20 @@
       const busy = await openAtWork('/long');
       stop();
       await clock.advance(STOP_TIMES.totalMilliseconds);
-      await until(() => busy.received() !== '');
+      await until(() => busy.received !== '');
       await clock.advance(LAST_ANSWERS_MILLISECONDS);
       await stopped;
-      await until(() => hasEnded(busy));
-      expect(busy.received()).toMatch(/^HTTP\/1.1 502 [^]*cactusrun-outcome: unknown/i);
+      await until(() => busy.hasEnded);
+      expect(busy.received).toMatch(/^HTTP\/1.1 502 [^]*cactusrun-outcome: unknown/i);
       answer('/long');
       await systemClock.sleep(20);
     });
 
     it('does not wait for requests of connections that their callers have closed', async () => {
       const busy = await openAtWork('/first');
-      busy.socket.write(request('/behind'));
+      busy.write(request('/behind'));
       await until(() => has('/behind'));
-      busy.socket.destroy();
+      busy.close();
       await until(() => server.requestsInFlight === 0);
     });
 
@@ -220,13 +196,13 @@
       const body = new PassThrough();
       body.write('half');
       answer('/long', body);
-      await until(() => busy.received().includes('half'));
+      await until(() => busy.received.includes('half'));
       stop();
       await clock.advance(STOP_TIMES.totalMilliseconds);
       await clock.advance(LAST_ANSWERS_MILLISECONDS);
       await stopped;
-      await until(() => hasEnded(busy));
-      expect(busy.ending()).toBe('reset');
+      await until(() => busy.hasEnded);
+      expect(busy.ending).toBe('reset');
     });
   });
 });
--- a/packages/gateway/src/__tests__/unit/plannedStop.test.ts
+++ b/packages/gateway/src/__tests__/unit/plannedStop.test.ts
@@ -1,7 +1,6 @@
-import type { Socket } from 'node:net';
-import { connect } from 'node:net';
 import type { LogFields } from '@cactusrun/core';
 import { Counters, createRandom, ManualClock, silentLogger, systemClock } from '@cactusrun/core';
+import { RawCaller } from '@cactusrun/stand-ins';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { CallerExchange, CallerOutcome } from '../../callers/CallerExchange.js';
 import { refuse } from '../../callers/CallerExchange.js';
@@ -29,13 +28,6 @@
   readonly answer: () => void;
 }
 
-/** A connection of a caller, and what it has received. */
-interface Connection {
-  readonly socket: Socket;
-  readonly received: () => string;
-  readonly ending: () => 'open' | 'ended' | 'reset';
-}
-
 describe('A planned stop', () => {
   let clock: ManualClock;
   let server: CallerServer;
@@ -44,7 +36,7 @@
   let executed: Executed[];
   /** Whether requests are passed on as soon as they are executed, or wait. */
   let passesOn: boolean;
-  let connections: Connection[];
+  let callers: RawCaller[];
   let stopped: Promise<void> | undefined;
 
   beforeEach(async () => {
@@ -53,14 +45,14 @@
     lines = [];
     executed = [];
     passesOn = true;
-    connections = [];
+    callers = [];
     stopped = undefined;
     server = createServer(false);
     await server.start();
   });
 
   afterEach(async () => {
-    connections.forEach(({ socket }) => socket.destroy());
+    callers.forEach((caller) => caller.close());
     await stopped;
     server.closeNow();
   });
@@ -99,25 +91,10 @@
   const executedIds = () => executed.map(({ exchange }) => exchange.id);
   const answer = (id: string) => executed.find(({ exchange }) => exchange.id === id)?.answer();
 
-  async function open(): Promise<Connection> {
-    const socket = connect({ port: PORT, host: HOST });
-    let text = '';
-    let ending: 'open' | 'ended' | 'reset' = 'open';
-    socket.on('data', (bytes: Buffer) => {
-      text += bytes.toString('latin1');
-    });
-    socket.on('end', () => {
-      ending = 'ended';
-    });
-    socket.on('error', () => {
-      ending = 'reset';
-    });
-    await new Promise<void>((resolve) => {
-      socket.once('connect', resolve);
-    });
-    const connection = { socket, received: () => text, ending: () => ending };
-    connections.push(connection);
-    return connection;
+  async function open(): Promise<RawCaller> {
+    const caller = await RawCaller.open(`${HOST}:${PORT}`);
+    callers.push(caller);
+    return caller;
   }
 
   /** A request that must run once. */
@@ -127,18 +104,18 @@
   }
 
   /** Opens a connection and leaves it idle after one answer. */
-  async function openKept(): Promise<Connection> {
+  async function openKept(): Promise<RawCaller> {
     const connection = await openAtWork('before');
     answer('before');
-    await until(() => connection.received().includes('body of before.'));
+    await until(() => connection.received.includes('body of before.'));
     await until(() => server.requestsInFlight === 0);
     return connection;
   }
 
   /** Sends a request that its target works on until it is answered. */
-  async function openAtWork(id: string): Promise<Connection> {
+  async function openAtWork(id: string): Promise<RawCaller> {
     const connection = await open();
-    connection.socket.write(post(id));
+    connection.write(post(id));
     await until(() => executedIds().includes(id));
     return connection;
   }
@@ -159,19 +136,17 @@
     expect(text).toMatch(/connection: close/i);
   }
 
-  const hasEnded = ({ ending }: Connection) => ending() === 'ended';
-
   describe('during the serving time', () => {
     it('serves requests of kept connections, and closes these with the answer', async () => {
       const kept = await openKept();
       stop();
       await clock.advance(STOP_TIMES.servingMilliseconds - 1);
-      kept.socket.write(post('early'));
+      kept.write(post('early'));
       await until(() => executedIds().includes('early'));
       answer('early');
-      await until(() => hasEnded(kept));
-      expect(kept.received()).toContain('body of early.');
-      expect(kept.received()).toMatch(/connection: close/i);
+      await until(() => kept.hasEnded);
+      expect(kept.received).toContain('body of early.');
+      expect(kept.received).toMatch(/connection: close/i);
       await clock.advance(1);
     });
   });
@@ -182,9 +157,9 @@
       stop();
       await settle();
       clock.pause(LATE_MILLISECONDS);
-      kept.socket.write(post('late'));
-      await until(() => hasEnded(kept));
-      expectRefusal(kept.received().slice(kept.received().indexOf('body of before.')));
+      kept.write(post('late'));
+      await until(() => kept.hasEnded);
+      expectRefusal(kept.received.slice(kept.received.indexOf('body of before.')));
       await clock.advance(0);
     });
 
@@ -194,8 +169,8 @@
       await settle();
       clock.pause(LATE_MILLISECONDS);
       await clock.advance(STOP_TIMES.totalMilliseconds - LATE_MILLISECONDS);
-      await until(() => busy.received() !== '');
-      expect(busy.received()).toMatch(/^HTTP\/1.1 502 /);
+      await until(() => busy.received !== '');
+      expect(busy.received).toMatch(/^HTTP\/1.1 502 /);
       await clock.advance(LAST_ANSWERS_MILLISECONDS);
     });
   });
@@ -206,44 +181,44 @@
       const busy = await openAtWork('long');
       stop();
       await clock.advance(LATE_MILLISECONDS);
-      kept.socket.write(post('late'));
-      await until(() => hasEnded(kept));
+      kept.write(post('late'));
+      await until(() => kept.hasEnded);
       expect(executedIds()).not.toContain('late');
-      expectRefusal(kept.received().slice(kept.received().indexOf('body of before.')));
+      expectRefusal(kept.received.slice(kept.received.indexOf('body of before.')));
       expect(await counters.render()).toMatch(/refusals.*stopping.* 1/);
       answer('long');
       await stopped;
-      await until(() => busy.received().includes('body of long.'));
+      await until(() => busy.received.includes('body of long.'));
     });
 
     it('refuses a request whose body was half read at its beginning', async () => {
       await openAtWork('long');
       const slow = await open();
       const text = post('slow', 'x'.repeat(100));
-      slow.socket.write(text.slice(0, -50));
+      slow.write(text.slice(0, -50));
       await until(() => server.requestsInFlight === 2);
       stop();
       await clock.advance(LATE_MILLISECONDS);
-      slow.socket.write(text.slice(-50));
-      await until(() => hasEnded(slow));
+      slow.write(text.slice(-50));
+      await until(() => slow.hasEnded);
       expect(executedIds()).not.toContain('slow');
-      expectRefusal(slow.received());
+      expectRefusal(slow.received);
     });
 
     it('refuses each request that waits behind another one, in its turn', async () => {
       const connection = await open();
-      connection.socket.write(post('first') + post('second'));
+      connection.write(post('first') + post('second'));
       await until(() => server.requestsInFlight === 2);
       stop();
       await clock.advance(LATE_MILLISECONDS);
-      connection.socket.write(post('third'));
+      connection.write(post('third'));
       await until(() => server.requestsInFlight === 3);
       await settle();
-      expect(connection.received()).toBe('');
+      expect(connection.received).toBe('');
       answer('first');
-      await until(() => hasEnded(connection));
+      await until(() => connection.hasEnded);
       expect(executedIds()).toEqual(['first']);
-      const [first, second, third] = connection.received().split(/(?=HTTP\/1\.1)/);
+      const [first, second, third] = connection.received.split(/(?=HTTP\/1\.1)/);
       expect(first).toContain('body of first.');
       expect(second).toContain('"reason":"stopping"');
       expectRefusal(third ?? '');
@@ -255,8 +230,8 @@
       stop();
       await clock.advance(STOP_TIMES.servingMilliseconds);
       await stopped;
-      await until(() => hasEnded(connection));
-      expectRefusal(connection.received());
+      await until(() => connection.hasEnded);
+      expectRefusal(connection.received);
       expect(executed[0]?.exchange.passOn()).toBe(false);
     });
 
@@ -268,10 +243,10 @@
       await openAtWork('long');
       stop();
       await clock.advance(LATE_MILLISECONDS);
-      kept.socket.write(post('late'));
-      await until(() => hasEnded(kept));
+      kept.write(post('late'));
+      await until(() => kept.hasEnded);
       expect(executedIds()).not.toContain('late');
-      expect(kept.received()).toContain('cactusrun-refusal: stopping');
+      expect(kept.received).toContain('cactusrun-refusal: stopping');
     });
 
     it('lets a request that its target works on end, and closes idle connections then', async () => {
@@ -280,11 +255,11 @@
       stop();
       await clock.advance(LATE_MILLISECONDS);
       await settle();
-      expect(kept.ending()).toBe('open');
+      expect(kept.ending).toBe('open');
       answer('long');
       await stopped;
-      await until(() => hasEnded(kept) && hasEnded(busy));
-      expect(busy.received()).toContain('body of long.');
+      await until(() => kept.hasEnded && busy.hasEnded);
+      expect(busy.received).toContain('body of long.');
       expect(lines.map(({ event }) => event)).toEqual(['leaving-done']);
     });
   });
@@ -294,20 +269,20 @@
       const busy = await openAtWork('long');
       stop();
       await clock.advance(STOP_TIMES.totalMilliseconds);
-      await until(() => busy.received() !== '');
+      await until(() => busy.received !== '');
       await clock.advance(LAST_ANSWERS_MILLISECONDS);
       await stopped;
-      await until(() => hasEnded(busy));
-      expect(busy.received()).toMatch(/^HTTP\/1.1 502 /);
-      expect(busy.received()).toContain('"reason":"stopped"');
-      expect(busy.received()).toContain('"notRun":false');
-      expect(busy.ending()).toBe('ended');
+      await until(() => busy.hasEnded);
+      expect(busy.received).toMatch(/^HTTP\/1.1 502 /);
+      expect(busy.received).toContain('"reason":"stopped"');
+      expect(busy.received).toContain('"notRun":false');
+      expect(busy.ending).toBe('ended');
     });
 
     it('logs each request that it cuts, with its age and whether a target works on it', async () => {
       await openAtWork('long');
       const slow = await open();
-      slow.socket.write(post('slow', 'x'.repeat(100)).slice(0, -50));
+      slow.write(post('slow', 'x'.repeat(100)).slice(0, -50));
       await until(() => server.requestsInFlight === 2);
       stop();
       await clock.advance(STOP_TIMES.totalMilliseconds);
@@ -330,7 +305,7 @@
 
     it('logs a bounded number of them, and counts all', async () => {
       const all = await Promise.all(Array.from({ length: CUT_REQUESTS }, () => open()));
-      all.forEach(({ socket }, index) => socket.write(post(`r${index}`)));
+      all.forEach((caller, index) => caller.write(post(`r${index}`)));
       await until(() => server.requestsInFlight === CUT_REQUESTS);
       await until(() => executed.length === CUT_REQUESTS);
       stop();
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,5 @@
 export { default as LinkPipe } from './LinkPipe.js';
+export { default as RawCaller } from './RawCaller.js';
 export { default as ScriptedTarget, ENDLESS_WRITERS } from './ScriptedTarget.js';
 export { default as StandInLink } from './StandInLink.js';
 export { default as StandInPlatform } from './StandInPlatform.js';
