--- a/packages/daemon/src/__tests__/unit/plannedStop.test.ts
+++ b/packages/daemon/src/__tests__/unit/plannedStop.test.ts
@@ -1,3 +1,4 @@
+/** Guards against requests that a stopping daemon takes late, and cuts at the end of its grace time. */
 import { PassThrough, Readable } from 'node:stream';
 import { Counters, ManualClock, silentLogger, systemClock } from '@cactusrun/core';
 import { RawCaller } from '@cactusrun/stand-ins';
--- a/packages/gateway/src/__tests__/unit/plannedStop.test.ts
+++ b/packages/gateway/src/__tests__/unit/plannedStop.test.ts
@@ -1,3 +1,4 @@
+/** Guards against requests that a stopping daemon takes late, and cuts at the end of its grace time. */
 import type { LogFields } from '@cactusrun/core';
 import { Counters, createRandom, ManualClock, silentLogger, systemClock } from '@cactusrun/core';
 import { RawCaller } from '@cactusrun/stand-ins';
