Execute nothing behind an answer that closes its connection

What a pipelining caller of packages/daemon could see (LOST): a stopping daemon had begun the last answer that it owed on a connection, with "Connection: close", behind one that was still awaited; a further request was executed and then cut by the close.

--- a/packages/daemon/src/EntryServer.ts
+++ b/packages/daemon/src/EntryServer.ts
@@ -56,6 +56,9 @@
   /** In the order of their arrival. */
   private readonly pending = new Map<ServerResponse, PendingResponse>();
 
+  /** Connections that end with an answer that was begun. */
+  private readonly closing = new WeakSet<Socket>();
+
   constructor(private readonly options: EntryServerOptions) {
     this.server = createServer(
       {
@@ -124,6 +127,8 @@
       directory.serve(request, response);
       return;
     }
+    // Its answer would be cut by the end of the connection.
+    if (this.closing.has(request.socket)) return;
     const controller = new AbortController();
     this.pending.set(response, { startedAt: clock.now(), controller });
     response.on('close', () => this.end(response));
@@ -193,7 +198,10 @@
       counters.add('outcomes', isGivenUp ? 'given-up' : 'caller-gone');
       return;
     }
-    if (this.closesWith(response)) response.setHeader('connection', 'close');
+    if (this.closesWith(response)) {
+      response.setHeader('connection', 'close');
+      this.closing.add(response.req.socket);
+    }
     // A ticket of a host that leaves could not be used any more.
     if (!gate.isStopping) response.setHeader(CALLER_HEADERS.ticket, issueTicket());
     if (answer.kind === 'answered') writeAnswer(response, answer, counters);
--- a/packages/daemon/src/__tests__/unit/plannedStop.test.ts
+++ b/packages/daemon/src/__tests__/unit/plannedStop.test.ts
@@ -141,6 +141,23 @@
     });
   });
 
+  describe('behind an answer that closes its connection', () => {
+    it('executes nothing, since its answer would be cut', async () => {
+      const connection = await openAtWork('/first');
+      connection.write(request('/last'));
+      await until(() => has('/last'));
+      stop();
+      answer('/last');
+      await systemClock.sleep(20);
+      connection.write(request('/behind'));
+      await systemClock.sleep(40);
+      answer('/first');
+      await until(() => connection.hasEnded);
+      expect(connection.received).toContain('answer of /last.');
+      expect(has('/behind')).toBe(false);
+    });
+  });
+
   describe('after the serving time', () => {
     it('passes no request of a kept connection on, which it would cut at its target', async () => {
       const kept = await openKept();
