--- a/packages/health/src/ShardHealth.ts
+++ b/packages/health/src/ShardHealth.ts
@@ -10,22 +10,17 @@
   EjectionCaution,
   Logger,
   Observation,
-  ObservedResult,
   TargetHealth,
   TargetState,
 } from '@cactusrun/core';
 import type { CautionLevel } from './CautionLevels.js';
 import { CAUTION_LEVELS } from './CautionLevels.js';
-import DecayingQuantile from './DecayingQuantile.js';
-import {
-  durationLogRatio,
-  failureLogRatio,
-  OVERDUE_FACTOR,
-  survivalLogRatio,
-  TIMEOUT_LOG_RATIO,
-} from './evidence.js';
 import medianOf from './medianOf.js';
 import PeerBaseline from './PeerBaseline.js';
+import RequestEvidence, {
+  COLD_START_MILLISECONDS,
+  INITIAL_PEER_MILLISECONDS,
+} from './RequestEvidence.js';
 import TargetRecord from './TargetRecord.js';
 
 /** Scores are capped at this multiple of the ejection threshold, so that a target can recover. */
@@ -38,15 +33,8 @@
 const FLAP_WINDOW_MILLISECONDS = 60_000;
 /** Callers of a zone count as served if they got an answer within this time. */
 const RECENT_ANSWER_MILLISECONDS = 10_000;
-const COLD_START_MILLISECONDS = 5_000;
-const SHED_BACKOFF_MILLISECONDS = 100;
-const INITIAL_PEER_MILLISECONDS = 50;
-const HEDGE_QUANTILE = 0.95;
 const HEDGE_DELAY_FACTOR = 1.5;
 const MINIMUM_HEDGE_DELAY_MILLISECONDS = 10;
-/** Weight of a missing answer on a reused connection, which may itself be broken. */
-const REUSED_CONNECTION_WEIGHT = 0.6;
-
 export interface ShardHealthOptions {
   readonly service: string;
   readonly targets: readonly string[];
@@ -81,40 +69,18 @@
   readonly callerZones: readonly string[];
 }
 
-interface RunningRequest {
-  readonly record: TargetRecord;
-  readonly zone: string;
-  readonly startedAt: number;
-  /** Evidence that was already added for this request. */
-  addedLogRatio: number;
-  isOnReusedConnection: boolean;
-  cancelOverdueCheck: () => void;
-}
-
-type ResultHandler = (request: RunningRequest, elapsed: number) => void;
-
 export default class ShardHealth implements TargetHealth {
   private readonly records = new Map<string, TargetRecord>();
 
   private readonly baseline = new PeerBaseline(INITIAL_PEER_MILLISECONDS);
 
-  private readonly durationQuantile = new DecayingQuantile(
-    HEDGE_QUANTILE,
-    2 * INITIAL_PEER_MILLISECONDS,
-    0.05,
-  );
-
-  private readonly resultHandlers: Readonly<Record<ObservedResult, ResultHandler>> = {
-    answered: (request, elapsed) => this.recordAnswer(request, elapsed),
-    'error-status': (request) => this.recordFailure(request),
-    broken: (request) => this.recordFailure(request),
-    timeout: (request) => this.recordTimeout(request),
-    'connect-failed': (request) => this.recordConnectFailure(request),
-    shed: (request) => this.recordShed(request),
-    cancelled: () => {},
-  };
+  private readonly evidence: RequestEvidence;
 
   constructor(private readonly options: ShardHealthOptions) {
+    const { clock, counters } = options;
+    const { baseline } = this;
+    const onChange = (record: TargetRecord) => this.review(record);
+    this.evidence = new RequestEvidence({ baseline, clock, counters, onChange });
     this.setTargets(options.targets);
   }
 
@@ -162,7 +128,7 @@
   public hedgeDelayMilliseconds(): number {
     return Math.max(
       MINIMUM_HEDGE_DELAY_MILLISECONDS,
-      this.durationQuantile.value * HEDGE_DELAY_FACTOR,
+      this.evidence.longMilliseconds * HEDGE_DELAY_FACTOR,
     );
   }
 
@@ -173,29 +139,7 @@
   public observeAttempt(target: string, callerZone: string): Observation {
     const record = this.records.get(target);
     if (record === undefined) return { sentOn: () => {}, finish: () => {} };
-    const { clock } = this.options;
-    const request: RunningRequest = {
-      record,
-      zone: callerZone,
-      startedAt: clock.now(),
-      addedLogRatio: 0,
-      isOnReusedConnection: false,
-      cancelOverdueCheck: () => {},
-    };
-    this.scheduleOverdueCheck(request, OVERDUE_FACTOR);
-    let isRunning = true;
-    return {
-      sentOn: (connection) => {
-        request.isOnReusedConnection = connection === 'reused';
-      },
-      finish: (result) => {
-        if (!isRunning) return;
-        isRunning = false;
-        request.cancelOverdueCheck();
-        this.resultHandlers[result](request, clock.now() - request.startedAt);
-        this.review(record);
-      },
-    };
+    return this.evidence.observe(record, callerZone);
   }
 
   /** Targets whose score justifies an ejection. */
@@ -268,69 +212,6 @@
     return record.cusum.score - this.peerScore(record);
   }
 
-  /** Adds evidence for a running request at each multiple of the expected duration. */
-  private scheduleOverdueCheck(request: RunningRequest, factor: number): void {
-    const { clock } = this.options;
-    const { name } = request.record;
-    const due = request.startedAt + factor * this.baseline.peerMilliseconds(name);
-    request.cancelOverdueCheck = clock.after(Math.max(1, due - clock.now()), () => {
-      const elapsed = clock.now() - request.startedAt;
-      const logRatio = survivalLogRatio(elapsed, this.baseline.peerMilliseconds(name));
-      this.addEvidence(request, weighByConnection(request, logRatio));
-      this.baseline.recordOverdue(name, elapsed);
-      this.review(request.record);
-      if (request.addedLogRatio < TIMEOUT_LOG_RATIO) this.scheduleOverdueCheck(request, factor + 1);
-    });
-  }
-
-  /** Sets the total evidence of the request; none against the target during a cold start. */
-  private addEvidence(request: RunningRequest, logRatio: number): void {
-    const isCold = this.options.clock.now() < request.record.coldStartUntil;
-    const newLogRatio = isCold ? Math.min(0, logRatio) : logRatio;
-    const change = newLogRatio - request.addedLogRatio;
-    request.addedLogRatio = newLogRatio;
-    request.record.cusum.add(change);
-    request.record.zoneEvidence(request.zone).cusum.add(change);
-  }
-
-  private recordAnswer(request: RunningRequest, elapsed: number): void {
-    const { record } = request;
-    const now = this.options.clock.now();
-    record.endConnectFailures(now + COLD_START_MILLISECONDS);
-    const peer = this.baseline.peerMilliseconds(record.name);
-    this.addEvidence(request, durationLogRatio(elapsed, peer));
-    record.zoneEvidence(request.zone).lastAnswerAt = now;
-    this.baseline.recordOutcome(record.name, false);
-    if (now < record.coldStartUntil && this.baseline.samples(record.name) > 1) return;
-    this.baseline.recordDuration(record.name, elapsed);
-    this.durationQuantile.add(elapsed);
-  }
-
-  private recordFailure(request: RunningRequest): void {
-    const { name } = request.record;
-    const rate = this.baseline.peerFailureRate(name);
-    this.baseline.recordOutcome(name, true);
-    this.addEvidence(request, Math.max(request.addedLogRatio, failureLogRatio(rate)));
-  }
-
-  private recordTimeout(request: RunningRequest): void {
-    const { name } = request.record;
-    const rate = this.baseline.peerFailureRate(name);
-    this.baseline.recordOutcome(name, true);
-    const logRatio = weighByConnection(request, Math.min(TIMEOUT_LOG_RATIO, failureLogRatio(rate)));
-    this.addEvidence(request, Math.max(request.addedLogRatio, logRatio));
-  }
-
-  private recordConnectFailure(request: RunningRequest): void {
-    request.record.recordConnectFailure(this.options.clock.now());
-    this.options.counters.add('steering', 'no-connection');
-  }
-
-  private recordShed(request: RunningRequest): void {
-    request.record.shedUntil = this.options.clock.now() + SHED_BACKOFF_MILLISECONDS;
-    this.options.counters.add('steering', 'shed');
-  }
-
   /** Deprioritizes a target that does worse than its peers; restores it when it has recovered. */
   private review(record: TargetRecord): void {
     const score = this.relativeScore(record);
@@ -378,10 +259,3 @@
     return zone.cusum.score - medianOf(peers) >= this.level.steerScore;
   }
 }
-
-/** Reduces evidence against the target if no answer came on a reused connection. */
-function weighByConnection(request: RunningRequest, logRatio: number): number {
-  return logRatio > 0 && request.isOnReusedConnection
-    ? logRatio * REUSED_CONNECTION_WEIGHT
-    : logRatio;
-}
