--- a/packages/daemon/src/__tests__/unit/endlessAnswers.test.ts
+++ b/packages/daemon/src/__tests__/unit/endlessAnswers.test.ts
@@ -1,9 +1,9 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import type { Target } from '@cactusrun/core';
 import { systemClock } from '@cactusrun/core';
-import type { Attempt, TargetResult } from '@cactusrun/requests';
+import type { TargetResult } from '@cactusrun/requests';
 import { ENDLESS_WRITERS, ScriptedTarget } from '@cactusrun/stand-ins';
 import HttpTargetConnector from '../../HttpTargetConnector.js';
+import { isWhole, sendToTarget } from './exchangeWithTarget.js';
 
 const HOST = '127.0.77.7';
 const CHUNK = 'x'.repeat(65_536);
@@ -40,28 +40,7 @@
   });
 
   function send(signal: AbortSignal): Promise<TargetResult> {
-    const target = { address: server.address } as Target;
-    const attempt = {
-      service: 's',
-      method: 'GET',
-      path: '/x',
-      headers: [],
-      body: { head: Buffer.alloc(0), isWhole: true },
-      callerZone: 'z',
-      deadline: systemClock.now() + 5_000,
-    } as unknown as Attempt;
-    return connector.send(target, attempt, signal, () => {});
-  }
-
-  /** Whether the whole body of the answer arrived. */
-  async function isWhole(result: TargetResult): Promise<boolean> {
-    if (result.kind !== 'answered') return false;
-    return new Promise((resolve) => {
-      result.body.on('data', () => {});
-      result.body.on('end', () => resolve(true));
-      result.body.on('error', () => resolve(false));
-      result.body.on('close', () => resolve(false));
-    });
+    return sendToTarget(connector, server.address, signal);
   }
 
   Object.entries(ENDLESS).forEach(([place, [prefix, text]]) => {
--- a/packages/daemon/src/__tests__/unit/truncatedAnswers.test.ts
+++ b/packages/daemon/src/__tests__/unit/truncatedAnswers.test.ts
@@ -1,10 +1,10 @@
 import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import type { Target } from '@cactusrun/core';
 import { systemClock } from '@cactusrun/core';
-import type { Attempt, TargetResult } from '@cactusrun/requests';
+import type { TargetResult } from '@cactusrun/requests';
 import { ScriptedTarget } from '@cactusrun/stand-ins';
 import HttpTargetConnector from '../../HttpTargetConnector.js';
+import { isWhole, sendToTarget } from './exchangeWithTarget.js';
 
 const HOST = '127.0.77.11';
 const OK = 'HTTP/1.1 200 OK\r\n';
@@ -50,28 +50,8 @@
     await server.stop();
   });
 
-  function send(method = 'GET'): Promise<TargetResult> {
-    const attempt = {
-      service: 's',
-      method,
-      path: '/x',
-      headers: [],
-      body: { head: Buffer.alloc(0), isWhole: true },
-      callerZone: 'z',
-      deadline: systemClock.now() + 5_000,
-    } as unknown as Attempt;
-    const target = { address: server.address } as Target;
-    return connector.send(target, attempt, AbortSignal.timeout(2_000), () => {});
-  }
-
-  async function isWhole(result: TargetResult): Promise<boolean> {
-    if (result.kind !== 'answered') return false;
-    return new Promise((resolve) => {
-      result.body.on('data', () => {});
-      result.body.on('end', () => resolve(true));
-      result.body.on('error', () => resolve(false));
-      result.body.on('close', () => resolve(false));
-    });
+  function send(method?: string): Promise<TargetResult> {
+    return sendToTarget(connector, server.address, AbortSignal.timeout(2_000), method);
   }
 
   Object.entries(TRUNCATED).forEach(([place, text]) => {
